Add the design, the module layout and the shared types

Cause: the components are built in parallel and need agreed interfaces first. Conclusion: everything compiles; no behaviour has been measured yet.

--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench measures citrond under load and faults and checks histories of its answers.
+package bench
--- /dev/null
+++ b/internal/catalog/types.go
@@ -0,0 +1,163 @@
+// Package catalog holds the replicated configuration: teams, services, targets' labels, policies
+// and keys. It is a pure state machine: changes in, results out.
+package catalog
+
+import (
+	"time"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// OpenTeam is the team name of callers on open routes, who show no key.
+const OpenTeam = "open"
+
+// Catalog is the whole configuration at one revision.
+type Catalog struct {
+	Revision uint64             `cbor:"1,keyasint" json:"revision"`
+	Teams    map[string]Team    `cbor:"2,keyasint" json:"teams"`
+	Services map[string]Service `cbor:"3,keyasint" json:"services"`
+	Targets  map[string]Target  `cbor:"4,keyasint" json:"targets"`
+	Policies map[string]Policy  `cbor:"5,keyasint" json:"policies"`
+}
+
+// Team is a customer.
+type Team struct {
+	Labels     map[string]string `cbor:"1,keyasint" json:"labels,omitempty"`
+	Salt       []byte            `cbor:"2,keyasint" json:"-"` // shared by all keys of the team
+	Iterations int               `cbor:"3,keyasint" json:"-"` // of PBKDF2
+	Keys       map[string]Key    `cbor:"4,keyasint" json:"keys,omitempty"`
+}
+
+// Key is a SCRAM-SHA-256 verifier. The key itself is stored nowhere.
+type Key struct {
+	StoredKey []byte `cbor:"1,keyasint" json:"-"`
+	ServerKey []byte `cbor:"2,keyasint" json:"-"`
+	Withdrawn bool   `cbor:"3,keyasint" json:"withdrawn,omitempty"`
+}
+
+// Service is a group of databases that hold the same data.
+type Service struct {
+	Labels      map[string]string `cbor:"1,keyasint" json:"labels,omitempty"`
+	Databases   int               `cbor:"2,keyasint" json:"databases"`   // group size, the base of majorities
+	Slots       int               `cbor:"3,keyasint" json:"slots"`       // concurrent statements of one database
+	Connections int               `cbor:"4,keyasint" json:"connections"` // connections of one database
+}
+
+// Target holds the labels that operators put on a target.
+type Target struct {
+	Labels map[string]string `cbor:"1,keyasint" json:"labels,omitempty"`
+}
+
+// Policy applies to the teams, services and targets that its selectors match. An empty selector
+// matches everything. Of several policies that set the same field for a team and a service, the
+// one with the highest Priority counts, then the one whose name sorts first.
+type Policy struct {
+	Priority int    `cbor:"1,keyasint" json:"priority,omitempty"`
+	Teams    string `cbor:"2,keyasint" json:"teams,omitempty"`    // label selector
+	Services string `cbor:"3,keyasint" json:"services,omitempty"` // label selector
+	Targets  string `cbor:"4,keyasint" json:"targets,omitempty"`  // label selector: reads go to these targets only
+
+	Reads  string        `cbor:"5,keyasint" json:"reads,omitempty"` // session, current, or max_age
+	MaxAge time.Duration `cbor:"6,keyasint" json:"max_age_ns,omitempty"`
+	Share  float64       `cbor:"7,keyasint" json:"share,omitempty"` // weight in the fair queue; 0: not set
+	Rate   float64       `cbor:"8,keyasint" json:"rate,omitempty"`  // statements/s over the fleet; 0: not set
+	Burst  float64       `cbor:"9,keyasint" json:"burst,omitempty"` // statements
+	Open   bool          `cbor:"10,keyasint" json:"open,omitempty"` // services need no key
+}
+
+// Defaults of a team and service that no policy covers.
+const (
+	DefaultShare = 1.0
+	DefaultRate  = 100.0 // statements/s
+	DefaultBurst = 200.0 // statements
+)
+
+// Rule is the outcome of all policies for one team and service.
+type Rule struct {
+	Mode           wire.ReadMode
+	MaxAge         time.Duration
+	Share          float64
+	TargetSelector string // empty: any target
+}
+
+// Change is a set of operations that is applied whole or not at all.
+type Change struct {
+	ID       string `cbor:"1,keyasint" json:"id"`             // chosen by the operator, unique per change
+	Base     uint64 `cbor:"2,keyasint" json:"base"`           // revision that the change builds on
+	Ops      []Op   `cbor:"3,keyasint" json:"ops"`            // at least one
+	Operator string `cbor:"4,keyasint" json:"operator"`       // for the log
+	Note     string `cbor:"5,keyasint" json:"note,omitempty"` // free text
+}
+
+// Op is one operation; exactly one field is set.
+type Op struct {
+	PutTeam       *PutTeam     `cbor:"1,keyasint,omitempty" json:"put_team,omitempty"`
+	DeleteTeam    string       `cbor:"2,keyasint,omitempty" json:"delete_team,omitempty"`
+	PutService    *PutService  `cbor:"3,keyasint,omitempty" json:"put_service,omitempty"`
+	DeleteService string       `cbor:"4,keyasint,omitempty" json:"delete_service,omitempty"`
+	PutPolicy     *PutPolicy   `cbor:"5,keyasint,omitempty" json:"put_policy,omitempty"`
+	DeletePolicy  string       `cbor:"6,keyasint,omitempty" json:"delete_policy,omitempty"`
+	SetLabels     *SetLabels   `cbor:"7,keyasint,omitempty" json:"set_labels,omitempty"`
+	GrantKey      *GrantKey    `cbor:"8,keyasint,omitempty" json:"grant_key,omitempty"`
+	WithdrawKey   *WithdrawKey `cbor:"9,keyasint,omitempty" json:"withdraw_key,omitempty"`
+}
+
+// PutTeam creates a team or replaces its labels. Salt and Iterations are filled in by the
+// administration API for a new team and ignored for an existing one.
+type PutTeam struct {
+	Name       string            `cbor:"1,keyasint" json:"name"`
+	Labels     map[string]string `cbor:"2,keyasint" json:"labels,omitempty"`
+	Salt       []byte            `cbor:"3,keyasint,omitempty" json:"-"`
+	Iterations int               `cbor:"4,keyasint,omitempty" json:"-"`
+}
+
+// PutService creates or replaces a service.
+type PutService struct {
+	Name    string  `cbor:"1,keyasint" json:"name"`
+	Service Service `cbor:"2,keyasint" json:"service"`
+}
+
+// PutPolicy creates or replaces a policy.
+type PutPolicy struct {
+	Name   string `cbor:"1,keyasint" json:"name"`
+	Policy Policy `cbor:"2,keyasint" json:"policy"`
+}
+
+// SetLabels sets and removes labels of one object.
+type SetLabels struct {
+	Kind   string            `cbor:"1,keyasint" json:"kind"` // team, service or target
+	Name   string            `cbor:"2,keyasint" json:"name"`
+	Set    map[string]string `cbor:"3,keyasint" json:"set,omitempty"`
+	Remove []string          `cbor:"4,keyasint" json:"remove,omitempty"`
+}
+
+// GrantKey adds a key's verifier to a team.
+type GrantKey struct {
+	Team string `cbor:"1,keyasint" json:"team"`
+	ID   string `cbor:"2,keyasint" json:"id"`
+	Key  Key    `cbor:"3,keyasint" json:"-"`
+}
+
+// WithdrawKey marks a key as withdrawn for good. Its id can't be granted again.
+type WithdrawKey struct {
+	Team string `cbor:"1,keyasint" json:"team"`
+	ID   string `cbor:"2,keyasint" json:"id"`
+}
+
+// Code says how a change was decided.
+type Code string
+
+// The outcomes of a change.
+const (
+	CodeAccepted Code = "accepted"
+	CodeConflict Code = "conflict" // Base is not the current revision
+	CodeInvalid  Code = "invalid"  // Field and Message say why
+)
+
+// Result answers a change. A resend of a change with the same ID gets the same Result.
+type Result struct {
+	Code     Code   `cbor:"1,keyasint" json:"code"`
+	Revision uint64 `cbor:"2,keyasint" json:"revision"` // accepted: the new one; else the current one
+	Field    string `cbor:"3,keyasint,omitempty" json:"field,omitempty"`
+	Message  string `cbor:"4,keyasint,omitempty" json:"message,omitempty"`
+}
--- /dev/null
+++ b/internal/position/position.go
@@ -0,0 +1,73 @@
+// Package position orders points in the replicated log of a database group.
+package position
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Position is a point in a group's log: the term of the primary that wrote it and the offset in
+// that log, in bytes or records as the database counts them. The zero value precedes all others.
+type Position struct {
+	Term   uint64 `cbor:"1,keyasint" json:"term"`
+	Offset uint64 `cbor:"2,keyasint" json:"offset"`
+}
+
+// Compare returns -1, 0 or 1. A higher term wins over any offset.
+func (p Position) Compare(q Position) int {
+	if c := cmp.Compare(p.Term, q.Term); c != 0 {
+		return c
+	}
+	return cmp.Compare(p.Offset, q.Offset)
+}
+
+// Covers reports whether p is at or past q.
+func (p Position) Covers(q Position) bool { return p.Compare(q) >= 0 }
+
+// IsZero reports whether p is the zero position.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Max returns the later of p and q.
+func (p Position) Max(q Position) Position {
+	if q.Compare(p) > 0 {
+		return q
+	}
+	return p
+}
+
+// String returns the form TERM/OFFSET, in decimal.
+func (p Position) String() string {
+	return strconv.FormatUint(p.Term, 10) + "/" + strconv.FormatUint(p.Offset, 10)
+}
+
+// Parse reads the form TERM/OFFSET.
+func Parse(s string) (Position, error) {
+	t, o, ok := strings.Cut(s, "/")
+	if !ok {
+		return Position{}, fmt.Errorf("position %q lacks a slash", s)
+	}
+	term, err := strconv.ParseUint(t, 10, 64)
+	if err != nil {
+		return Position{}, fmt.Errorf("term of position %q: %w", s, err)
+	}
+	offset, err := strconv.ParseUint(o, 10, 64)
+	if err != nil {
+		return Position{}, fmt.Errorf("offset of position %q: %w", s, err)
+	}
+	return Position{Term: term, Offset: offset}, nil
+}
+
+// Token returns the session token that a caller presents to keep its floor: SERVICE:TERM/OFFSET.
+func Token(service string, p Position) string { return service + ":" + p.String() }
+
+// ParseToken reads a session token. The service must match, since positions of different groups
+// can't be compared.
+func ParseToken(service, token string) (Position, error) {
+	s, rest, ok := strings.Cut(token, ":")
+	if !ok || s != service {
+		return Position{}, fmt.Errorf("session token %q is not for service %q", token, service)
+	}
+	return Parse(rest)
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ErrTooLarge means that a message exceeds its size limit.
+var ErrTooLarge = errors.New("message exceeds its size limit")
+
+const (
+	maxNestedLevels = 16
+	maxElements     = 1 << 16
+)
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  maxNestedLevels,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		IndefLength:      cbor.IndefLengthForbidden,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Marshal encodes v as CBOR.
+func Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
+
+// Unmarshal decodes CBOR with limits on nesting and element counts.
+func Unmarshal(data []byte, v any) error { return decMode.Unmarshal(data, v) }
+
+// Write encodes v and writes it with its length in front, in one call of w.Write.
+func Write(w io.Writer, v any) error {
+	body, err := cbor.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode %T: %w", v, err)
+	}
+	if len(body) > MaxSnapshotBytes {
+		return fmt.Errorf("encode %T of %d bytes: %w", v, len(body), ErrTooLarge)
+	}
+	buf := make([]byte, 4, 4+len(body))
+	binary.BigEndian.PutUint32(buf, uint32(len(body)))
+	_, err = w.Write(append(buf, body...))
+	return err
+}
+
+// Read reads one message of at most limit bytes into v. It reads no byte past the message.
+func Read(r io.Reader, v any, limit int) error {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if uint64(n) > uint64(limit) {
+		return fmt.Errorf("decode %T of %d bytes: %w", v, n, ErrTooLarge)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return fmt.Errorf("read %T: %w", v, err)
+	}
+	if err := decMode.Unmarshal(body, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
