Add the configuration state machine

Cause: operators race on equal revisions and resend after lost answers. Change: changes are applied whole, against a base revision, and answered again by id; a digest tells a resend from another change with the same id. Policies are resolved by priority, then name.

--- /dev/null
+++ b/internal/catalog/machine.go
@@ -0,0 +1,166 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// maxAnswered bounds the remembered results of changes, so that a snapshot stays within
+// wire.MaxSnapshotBytes. At 530 changes a day they reach back 18 days.
+const maxAnswered = 10_000
+
+// Machine applies changes in the order of the replicated log. It is deterministic and isn't safe for
+// concurrent use.
+type Machine struct {
+	catalog  Catalog
+	answered map[string]answer
+	order    []string // change ids, oldest first
+}
+
+// answer is the remembered result of a change. The digest tells a resend from another change that
+// uses the same id.
+type answer struct {
+	Result Result   `cbor:"1,keyasint"`
+	Digest [32]byte `cbor:"2,keyasint"`
+}
+
+// machineState is the encoded form of a Machine.
+type machineState struct {
+	Catalog  Catalog           `cbor:"1,keyasint"`
+	Answered map[string]answer `cbor:"2,keyasint"`
+	Order    []string          `cbor:"3,keyasint"`
+}
+
+// NewMachine returns a Machine with an empty catalog at revision 0.
+func NewMachine() *Machine {
+	return &Machine{catalog: emptyCatalog(), answered: map[string]answer{}}
+}
+
+func emptyCatalog() Catalog {
+	return Catalog{
+		Teams:    map[string]Team{},
+		Services: map[string]Service{},
+		Targets:  map[string]Target{},
+		Policies: map[string]Policy{},
+	}
+}
+
+// Apply decides on a change. A change with a known id gets its first result again. A refused change
+// leaves the catalog as it was.
+func (m *Machine) Apply(c Change) Result {
+	sum := c.digest()
+	if a, ok := m.answered[c.ID]; ok {
+		if a.Digest != sum {
+			return m.invalid("id", fmt.Sprintf("%q was used by a different change", c.ID))
+		}
+		return a.Result
+	}
+	r := m.decide(c)
+	if c.ID != "" {
+		m.remember(c.ID, answer{Result: r, Digest: sum})
+	}
+	return r
+}
+
+func (m *Machine) decide(c Change) Result {
+	if c.ID == "" {
+		return m.invalid("id", "is empty")
+	}
+	if c.Base != m.catalog.Revision {
+		return Result{
+			Code:     CodeConflict,
+			Revision: m.catalog.Revision,
+			Message:  fmt.Sprintf("the change builds on revision %d, the current one is %d", c.Base, m.catalog.Revision),
+		}
+	}
+	if len(c.Ops) == 0 {
+		return m.invalid("ops", "is empty")
+	}
+	next := m.catalog.clone()
+	for i, op := range c.Ops {
+		if err := next.apply(op); err != nil {
+			return m.invalid(fmt.Sprintf("ops[%d].%s", i, err.field), err.message)
+		}
+	}
+	next.Revision++
+	m.catalog = next
+	return Result{Code: CodeAccepted, Revision: next.Revision}
+}
+
+func (m *Machine) invalid(field, message string) Result {
+	return Result{Code: CodeInvalid, Revision: m.catalog.Revision, Field: field, Message: message}
+}
+
+func (m *Machine) remember(id string, a answer) {
+	if len(m.order) >= maxAnswered {
+		delete(m.answered, m.order[0])
+		m.order = m.order[1:]
+	}
+	m.answered[id] = a
+	m.order = append(m.order, id)
+}
+
+// digest identifies what a change asks for. Salts are left out: the administration API draws a new
+// one for each send of a new team's change, and the first one applied counts.
+func (c Change) digest() [32]byte {
+	ops := slices.Clone(c.Ops)
+	for i, op := range ops {
+		if op.PutTeam == nil {
+			continue
+		}
+		team := *op.PutTeam
+		team.Salt, team.Iterations = nil, 0
+		ops[i].PutTeam = &team
+	}
+	c.Ops = ops
+	data, err := digestMode.Marshal(c)
+	if err != nil {
+		return [32]byte{} // the types of a change can always be encoded
+	}
+	return sha256.Sum256(data)
+}
+
+// digestMode encodes equal values to equal bytes, with sorted map keys.
+var digestMode = mustDigestMode()
+
+func mustDigestMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Catalog returns the current configuration. It must not be modified.
+func (m *Machine) Catalog() Catalog { return m.catalog }
+
+// Encode returns the machine's whole state for a snapshot.
+func (m *Machine) Encode() ([]byte, error) {
+	return wire.Marshal(machineState{Catalog: m.catalog, Answered: m.answered, Order: m.order})
+}
+
+// DecodeMachine restores a Machine from the result of Encode.
+func DecodeMachine(data []byte) (*Machine, error) {
+	s := machineState{Catalog: emptyCatalog(), Answered: map[string]answer{}}
+	if err := wire.Unmarshal(data, &s); err != nil {
+		return nil, fmt.Errorf("decode catalog snapshot: %w", err)
+	}
+	return &Machine{catalog: s.Catalog, answered: s.Answered, order: s.Order}, nil
+}
+
+// clone copies the maps that operations modify. Values are replaced, never modified in place.
+func (c Catalog) clone() Catalog {
+	return Catalog{
+		Revision: c.Revision,
+		Teams:    maps.Clone(c.Teams),
+		Services: maps.Clone(c.Services),
+		Targets:  maps.Clone(c.Targets),
+		Policies: maps.Clone(c.Policies),
+	}
+}
--- /dev/null
+++ b/internal/catalog/ops.go
@@ -0,0 +1,304 @@
+package catalog
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"regexp"
+	"time"
+
+	"k8s.io/apimachinery/pkg/labels"
+)
+
+// Limits of the configuration.
+const (
+	maxNameBytes     = 63
+	maxLabels        = 64
+	maxLabelBytes    = 63
+	maxKeysPerTeam   = 32 // each is tried when a caller connects
+	maxDatabases     = 15
+	maxSlots         = 1024
+	maxConnections   = 10_000
+	maxRate          = 1e9 // statements/s
+	maxShare         = 1e6
+	minSaltBytes     = 16
+	minIterations    = 4096 // of PBKDF2, as SCRAM-SHA-256 asks
+	verifierKeyBytes = 32
+	maxPolicyAge     = 24 * time.Hour
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+
+// opError names the field that makes an operation invalid.
+type opError struct{ field, message string }
+
+func invalidf(field, format string, args ...any) *opError {
+	return &opError{field: field, message: fmt.Sprintf(format, args...)}
+}
+
+// apply carries out one operation on c, whose maps it owns.
+func (c *Catalog) apply(op Op) *opError {
+	if n := op.count(); n != 1 {
+		return invalidf("", "has %d operations set, want exactly 1", n)
+	}
+	switch {
+	case op.PutTeam != nil:
+		return c.putTeam(op.PutTeam)
+	case op.DeleteTeam != "":
+		return remove(c.Teams, "delete_team", op.DeleteTeam)
+	case op.PutService != nil:
+		return c.putService(op.PutService)
+	case op.DeleteService != "":
+		return remove(c.Services, "delete_service", op.DeleteService)
+	case op.PutPolicy != nil:
+		return c.putPolicy(op.PutPolicy)
+	case op.DeletePolicy != "":
+		return remove(c.Policies, "delete_policy", op.DeletePolicy)
+	case op.SetLabels != nil:
+		return c.setLabels(op.SetLabels)
+	case op.GrantKey != nil:
+		return c.grantKey(op.GrantKey)
+	default:
+		return c.withdrawKey(op.WithdrawKey)
+	}
+}
+
+func (op Op) count() int {
+	n := 0
+	for _, set := range []bool{
+		op.PutTeam != nil, op.DeleteTeam != "", op.PutService != nil, op.DeleteService != "",
+		op.PutPolicy != nil, op.DeletePolicy != "", op.SetLabels != nil, op.GrantKey != nil, op.WithdrawKey != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
+
+func remove[V any](m map[string]V, field, name string) *opError {
+	if _, ok := m[name]; !ok {
+		return invalidf(field, "%q does not exist", name)
+	}
+	delete(m, name)
+	return nil
+}
+
+func (c *Catalog) putTeam(p *PutTeam) *opError {
+	if err := checkName("put_team.name", p.Name); err != nil {
+		return err
+	}
+	if err := checkLabels("put_team.labels", p.Labels); err != nil {
+		return err
+	}
+	team, exists := c.Teams[p.Name]
+	if !exists {
+		if len(p.Salt) < minSaltBytes {
+			return invalidf("put_team.salt", "has %d bytes, want at least %d", len(p.Salt), minSaltBytes)
+		}
+		if p.Iterations < minIterations {
+			return invalidf("put_team.iterations", "is %d, want at least %d", p.Iterations, minIterations)
+		}
+		team = Team{Salt: p.Salt, Iterations: p.Iterations}
+	}
+	team.Labels = maps.Clone(p.Labels)
+	c.Teams[p.Name] = team
+	return nil
+}
+
+func (c *Catalog) putService(p *PutService) *opError {
+	if err := checkName("put_service.name", p.Name); err != nil {
+		return err
+	}
+	s := p.Service
+	if err := checkLabels("put_service.labels", s.Labels); err != nil {
+		return err
+	}
+	for _, f := range []struct {
+		name       string
+		value, max int
+	}{
+		{"databases", s.Databases, maxDatabases},
+		{"slots", s.Slots, maxSlots},
+		{"connections", s.Connections, maxConnections},
+	} {
+		if f.value < 1 || f.value > f.max {
+			return invalidf("put_service.service."+f.name, "is %d, want 1 to %d", f.value, f.max)
+		}
+	}
+	if s.Connections < s.Slots {
+		return invalidf("put_service.service.connections", "is %d, want at least the %d slots", s.Connections, s.Slots)
+	}
+	c.Services[p.Name] = s
+	return nil
+}
+
+func (c *Catalog) putPolicy(p *PutPolicy) *opError {
+	if err := checkName("put_policy.name", p.Name); err != nil {
+		return err
+	}
+	if err := p.Policy.check(); err != nil {
+		return invalidf("put_policy.policy."+err.field, "%s", err.message)
+	}
+	c.Policies[p.Name] = p.Policy
+	return nil
+}
+
+func (p Policy) check() *opError {
+	for _, s := range []struct{ field, selector string }{
+		{"teams", p.Teams}, {"services", p.Services}, {"targets", p.Targets},
+	} {
+		if _, err := labels.Parse(s.selector); err != nil {
+			return invalidf(s.field, "is not a label selector: %v", err)
+		}
+	}
+	switch p.Reads {
+	case "", ReadsSession, ReadsCurrent:
+		if p.MaxAge != 0 {
+			return invalidf("max_age_ns", "needs reads = %q", ReadsMaxAge)
+		}
+	case ReadsMaxAge:
+		if p.MaxAge <= 0 || p.MaxAge > maxPolicyAge {
+			return invalidf("max_age_ns", "is %s, want more than 0 and at most %s", p.MaxAge, maxPolicyAge)
+		}
+	default:
+		return invalidf("reads", "is %q, want %q, %q or %q", p.Reads, ReadsSession, ReadsCurrent, ReadsMaxAge)
+	}
+	return p.checkNumbers()
+}
+
+func (p Policy) checkNumbers() *opError {
+	for _, f := range []struct {
+		field      string
+		value, max float64
+	}{{"share", p.Share, maxShare}, {"rate", p.Rate, maxRate}, {"burst", p.Burst, maxRate}} {
+		if math.IsNaN(f.value) || f.value < 0 || f.value > f.max {
+			return invalidf(f.field, "is %v, want 0 to %v", f.value, f.max)
+		}
+	}
+	if (p.Rate > 0) != (p.Burst > 0) {
+		return invalidf("burst", "rate and burst go together: rate %v, burst %v", p.Rate, p.Burst)
+	}
+	if p.Burst > 0 && p.Burst < 1 {
+		return invalidf("burst", "is %v, want at least 1: a smaller one admits no statement", p.Burst)
+	}
+	return nil
+}
+
+func (c *Catalog) setLabels(p *SetLabels) *opError {
+	if err := checkLabels("set_labels.set", p.Set); err != nil {
+		return err
+	}
+	switch p.Kind {
+	case "team":
+		t, ok := c.Teams[p.Name]
+		if !ok {
+			return invalidf("set_labels.name", "team %q does not exist", p.Name)
+		}
+		t.Labels = merge(t.Labels, p)
+		c.Teams[p.Name] = t
+		return checkLabels("set_labels.set", t.Labels)
+	case "service":
+		s, ok := c.Services[p.Name]
+		if !ok {
+			return invalidf("set_labels.name", "service %q does not exist", p.Name)
+		}
+		s.Labels = merge(s.Labels, p)
+		c.Services[p.Name] = s
+		return checkLabels("set_labels.set", s.Labels)
+	case "target":
+		if err := checkName("set_labels.name", p.Name); err != nil {
+			return err
+		}
+		t := c.Targets[p.Name]
+		t.Labels = merge(t.Labels, p)
+		c.Targets[p.Name] = t
+		return checkLabels("set_labels.set", t.Labels)
+	default:
+		return invalidf("set_labels.kind", "is %q, want team, service or target", p.Kind)
+	}
+}
+
+func merge(old map[string]string, p *SetLabels) map[string]string {
+	out := make(map[string]string, len(old)+len(p.Set))
+	maps.Copy(out, old)
+	maps.Copy(out, p.Set)
+	for _, k := range p.Remove {
+		delete(out, k)
+	}
+	return out
+}
+
+func (c *Catalog) grantKey(p *GrantKey) *opError {
+	team, ok := c.Teams[p.Team]
+	if !ok {
+		return invalidf("grant_key.team", "team %q does not exist", p.Team)
+	}
+	if p.Team == OpenTeam {
+		return invalidf("grant_key.team", "team %q has no keys", OpenTeam)
+	}
+	if err := checkName("grant_key.id", p.ID); err != nil {
+		return err
+	}
+	if _, ok := team.Keys[p.ID]; ok {
+		return invalidf("grant_key.id", "key %q of team %q exists already", p.ID, p.Team)
+	}
+	if len(p.Key.StoredKey) != verifierKeyBytes || len(p.Key.ServerKey) != verifierKeyBytes {
+		return invalidf("grant_key.key", "is not a SCRAM-SHA-256 verifier")
+	}
+	if team.active() >= maxKeysPerTeam {
+		return invalidf("grant_key.team", "team %q has %d keys, the most allowed", p.Team, maxKeysPerTeam)
+	}
+	keys := maps.Clone(team.Keys)
+	if keys == nil {
+		keys = map[string]Key{}
+	}
+	keys[p.ID] = Key{StoredKey: p.Key.StoredKey, ServerKey: p.Key.ServerKey}
+	team.Keys = keys
+	c.Teams[p.Team] = team
+	return nil
+}
+
+func (t Team) active() int {
+	n := 0
+	for _, k := range t.Keys {
+		if !k.Withdrawn {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Catalog) withdrawKey(p *WithdrawKey) *opError {
+	team, ok := c.Teams[p.Team]
+	if !ok {
+		return invalidf("withdraw_key.team", "team %q does not exist", p.Team)
+	}
+	if _, ok := team.Keys[p.ID]; !ok {
+		return invalidf("withdraw_key.id", "key %q of team %q does not exist", p.ID, p.Team)
+	}
+	keys := maps.Clone(team.Keys)
+	keys[p.ID] = Key{Withdrawn: true} // the verifier is of no further use
+	team.Keys = keys
+	c.Teams[p.Team] = team
+	return nil
+}
+
+func checkName(field, name string) *opError {
+	if len(name) > maxNameBytes || !namePattern.MatchString(name) {
+		return invalidf(field, "%q is not a name of 1 to %d lower-case letters, digits, dots, dashes or underscores", name, maxNameBytes)
+	}
+	return nil
+}
+
+func checkLabels(field string, set map[string]string) *opError {
+	if len(set) > maxLabels {
+		return invalidf(field, "has %d labels, the most allowed is %d", len(set), maxLabels)
+	}
+	for k, v := range set {
+		if _, err := labels.ValidatedSelectorFromSet(labels.Set{k: v}); err != nil {
+			return invalidf(field, "label %q: %v", k, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/catalog/snapshot.go
@@ -0,0 +1,175 @@
+package catalog
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// The values of Policy.Reads.
+const (
+	ReadsSession = "session"
+	ReadsCurrent = "current"
+	ReadsMaxAge  = "max_age"
+)
+
+// Snapshot is an immutable catalog with compiled selectors. It is safe for concurrent use.
+type Snapshot struct {
+	catalog  Catalog
+	policies []compiledPolicy // highest priority first
+	rules    sync.Map         // ruleKey to Rule
+}
+
+type compiledPolicy struct {
+	Policy
+	teams, services labels.Selector
+}
+
+type ruleKey struct{ team, service string }
+
+// NewSnapshot compiles a catalog, which must not be modified afterwards.
+func NewSnapshot(c Catalog) (*Snapshot, error) {
+	names := make([]string, 0, len(c.Policies))
+	for name := range c.Policies {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		byPriority := cmp.Compare(c.Policies[b].Priority, c.Policies[a].Priority)
+		return cmp.Or(byPriority, cmp.Compare(a, b))
+	})
+	s := &Snapshot{catalog: c}
+	for _, name := range names {
+		p, err := compile(c.Policies[name])
+		if err != nil {
+			return nil, fmt.Errorf("policy %q: %w", name, err)
+		}
+		s.policies = append(s.policies, p)
+	}
+	return s, nil
+}
+
+// DecodeSnapshot compiles a catalog encoded with Encode.
+func DecodeSnapshot(data []byte) (*Snapshot, error) {
+	c := emptyCatalog()
+	if err := wire.Unmarshal(data, &c); err != nil {
+		return nil, fmt.Errorf("decode catalog: %w", err)
+	}
+	return NewSnapshot(c)
+}
+
+// Encode returns the catalog in the form that DecodeSnapshot reads.
+func (s *Snapshot) Encode() ([]byte, error) { return wire.Marshal(s.catalog) }
+
+func compile(p Policy) (compiledPolicy, error) {
+	teams, err := labels.Parse(p.Teams)
+	if err != nil {
+		return compiledPolicy{}, fmt.Errorf("selector of teams: %w", err)
+	}
+	services, err := labels.Parse(p.Services)
+	if err != nil {
+		return compiledPolicy{}, fmt.Errorf("selector of services: %w", err)
+	}
+	return compiledPolicy{Policy: p, teams: teams, services: services}, nil
+}
+
+// Catalog returns the configuration. It must not be modified.
+func (s *Snapshot) Catalog() Catalog { return s.catalog }
+
+// Revision returns the catalog's revision.
+func (s *Snapshot) Revision() uint64 { return s.catalog.Revision }
+
+// Team returns a team by name.
+func (s *Snapshot) Team(name string) (Team, bool) {
+	t, ok := s.catalog.Teams[name]
+	return t, ok
+}
+
+// Service returns a service by name.
+func (s *Snapshot) Service(name string) (Service, bool) {
+	svc, ok := s.catalog.Services[name]
+	return svc, ok
+}
+
+// KeyValid reports whether a key of a team exists and isn't withdrawn.
+func (s *Snapshot) KeyValid(team, id string) bool {
+	k, ok := s.catalog.Teams[team].Keys[id]
+	return ok && !k.Withdrawn
+}
+
+// Open reports whether a service needs no key.
+func (s *Snapshot) Open(service string) bool {
+	svc, ok := s.catalog.Services[service]
+	if !ok {
+		return false
+	}
+	for _, p := range s.policies {
+		if p.Open && p.services.Matches(labels.Set(svc.Labels)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Rule returns the outcome of all policies for a team and a service.
+func (s *Snapshot) Rule(team, service string) Rule {
+	key := ruleKey{team, service}
+	if r, ok := s.rules.Load(key); ok {
+		return r.(Rule)
+	}
+	r := s.rule(team, service)
+	s.rules.Store(key, r)
+	return r
+}
+
+func (s *Snapshot) rule(team, service string) Rule {
+	r := Rule{Share: DefaultShare}
+	var hasReads, hasShare bool
+	for _, p := range s.policies {
+		if !s.matches(p, team, service) {
+			continue
+		}
+		if p.Reads != "" && !hasReads {
+			r.Mode, r.MaxAge, hasReads = readMode(p.Reads), p.MaxAge, true
+		}
+		if p.Share > 0 && !hasShare {
+			r.Share, hasShare = p.Share, true
+		}
+		if r.TargetSelector == "" {
+			r.TargetSelector = p.Targets
+		}
+	}
+	return r
+}
+
+func (s *Snapshot) matches(p compiledPolicy, team, service string) bool {
+	return p.teams.Matches(labels.Set(s.catalog.Teams[team].Labels)) &&
+		p.services.Matches(labels.Set(s.catalog.Services[service].Labels))
+}
+
+// Limit returns a team's rate in statements/s and its burst in statements, over the whole fleet.
+// Only the teams' selectors of policies count here, since one rate covers all services.
+func (s *Snapshot) Limit(team string) (rate, burst float64) {
+	set := labels.Set(s.catalog.Teams[team].Labels)
+	for _, p := range s.policies {
+		if p.Rate > 0 && p.teams.Matches(set) {
+			return p.Rate, p.Burst
+		}
+	}
+	return DefaultRate, DefaultBurst
+}
+
+func readMode(reads string) wire.ReadMode {
+	switch reads {
+	case ReadsCurrent:
+		return wire.ReadCurrent
+	case ReadsMaxAge:
+		return wire.ReadMaxAge
+	default:
+		return wire.ReadSession
+	}
+}
