--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -77,7 +77,7 @@
 		"label":     {putTeam("b", map[string]string{"x y": "z"}), "ops[1].put_team.labels"},
 		"selector":  {Op{PutPolicy: &PutPolicy{Name: "p", Policy: Policy{Teams: "a in ("}}}, "ops[1].put_policy.policy.teams"},
 		"reads":     {Op{PutPolicy: &PutPolicy{Name: "p", Policy: Policy{Reads: "old"}}}, "ops[1].put_policy.policy.reads"},
-		"age":       {Op{PutPolicy: &PutPolicy{Name: "p", Policy: Policy{Reads: ReadsMaxAge}}}, "ops[1].put_policy.policy.max_age_ns"},
+		"age":       {Op{PutPolicy: &PutPolicy{Name: "p", Policy: Policy{Reads: ReadsMaxAge}}}, "ops[1].put_policy.policy.max_age"},
 		"burst":     {Op{PutPolicy: &PutPolicy{Name: "p", Policy: Policy{Rate: 5}}}, "ops[1].put_policy.policy.burst"},
 		"service":   {Op{PutService: &PutService{Name: "s", Service: Service{Databases: 0, Slots: 1, Connections: 1}}}, "ops[1].put_service.service.databases"},
 		"unknown":   {grant("nobody", "k"), "ops[1].grant_key.team"},
@@ -125,7 +125,7 @@
 		Op{PutService: &PutService{Name: "repair", Service: Service{Labels: map[string]string{"public": "yes"}, Databases: 3, Slots: 2, Connections: 16}}},
 		Op{PutPolicy: &PutPolicy{Name: "a-default", Policy: Policy{Share: 1, Rate: 10, Burst: 20}}},
 		Op{PutPolicy: &PutPolicy{Name: "b-default", Policy: Policy{Share: 9}}},
-		Op{PutPolicy: &PutPolicy{Name: "z-stale", Policy: Policy{Priority: 5, Teams: "reads=stale", Reads: ReadsMaxAge, MaxAge: time.Minute, Share: 3}}},
+		Op{PutPolicy: &PutPolicy{Name: "z-stale", Policy: Policy{Priority: 5, Teams: "reads=stale", Reads: ReadsMaxAge, MaxAge: Duration(time.Minute), Share: 3}}},
 		Op{PutPolicy: &PutPolicy{Name: "open", Policy: Policy{Services: "public=yes", Open: true}}},
 	)
 	s, err := NewSnapshot(m.Catalog())
--- a/internal/catalog/ops.go
+++ b/internal/catalog/ops.go
@@ -155,11 +155,11 @@
 	switch p.Reads {
 	case "", ReadsSession, ReadsCurrent:
 		if p.MaxAge != 0 {
-			return invalidf("max_age_ns", "needs reads = %q", ReadsMaxAge)
+			return invalidf("max_age", "needs reads = %q", ReadsMaxAge)
 		}
 	case ReadsMaxAge:
-		if p.MaxAge <= 0 || p.MaxAge > maxPolicyAge {
-			return invalidf("max_age_ns", "is %s, want more than 0 and at most %s", p.MaxAge, maxPolicyAge)
+		if p.MaxAge <= 0 || time.Duration(p.MaxAge) > maxPolicyAge {
+			return invalidf("max_age", "is %s, want more than 0 and at most %s", time.Duration(p.MaxAge), maxPolicyAge)
 		}
 	default:
 		return invalidf("reads", "is %q, want %q, %q or %q", p.Reads, ReadsSession, ReadsCurrent, ReadsMaxAge)
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 
 	"k8s.io/apimachinery/pkg/labels"
 
@@ -134,7 +135,7 @@
 			continue
 		}
 		if p.Reads != "" && !hasReads {
-			r.Mode, r.MaxAge, hasReads = readMode(p.Reads), p.MaxAge, true
+			r.Mode, r.MaxAge, hasReads = readMode(p.Reads), time.Duration(p.MaxAge), true
 		}
 		if p.Share > 0 && !hasShare {
 			r.Share, hasShare = p.Share, true
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/citronrun/citronrun/internal/wire"
@@ -57,12 +58,28 @@
 	Services string `cbor:"3,keyasint" json:"services,omitempty"` // label selector
 	Targets  string `cbor:"4,keyasint" json:"targets,omitempty"`  // label selector: reads go to these targets only
 
-	Reads  string        `cbor:"5,keyasint" json:"reads,omitempty"` // session, current, or max_age
-	MaxAge time.Duration `cbor:"6,keyasint" json:"max_age_ns,omitempty"`
-	Share  float64       `cbor:"7,keyasint" json:"share,omitempty"` // weight in the fair queue; 0: not set
-	Rate   float64       `cbor:"8,keyasint" json:"rate,omitempty"`  // statements/s over the fleet; 0: not set
-	Burst  float64       `cbor:"9,keyasint" json:"burst,omitempty"` // statements
-	Open   bool          `cbor:"10,keyasint" json:"open,omitempty"` // services need no key
+	Reads  string   `cbor:"5,keyasint" json:"reads,omitempty"` // session, current, or max_age
+	MaxAge Duration `cbor:"6,keyasint" json:"max_age,omitempty"`
+	Share  float64  `cbor:"7,keyasint" json:"share,omitempty"` // weight in the fair queue; 0: not set
+	Rate   float64  `cbor:"8,keyasint" json:"rate,omitempty"`  // statements/s over the fleet; 0: not set
+	Burst  float64  `cbor:"9,keyasint" json:"burst,omitempty"` // statements
+	Open   bool     `cbor:"10,keyasint" json:"open,omitempty"` // services need no key
+}
+
+// Duration is a time.Duration that operators write as a string such as "1.5s".
+type Duration time.Duration
+
+// MarshalText writes a duration string.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads a duration string.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration %q: want a form such as \"1.5s\"", text)
+	}
+	*d = Duration(v)
+	return nil
 }
 
 // Defaults of a team and service that no policy covers.
@@ -136,6 +153,9 @@
 	Team string `cbor:"1,keyasint" json:"team"`
 	ID   string `cbor:"2,keyasint" json:"id"`
 	Key  Key    `cbor:"3,keyasint" json:"-"`
+	// Secret is the key itself on its way from the operator to the administration API, which
+	// replaces it by Key. It is never encoded for other hosts.
+	Secret string `cbor:"-" json:"secret,omitempty"`
 }
 
 // WithdrawKey marks a key as withdrawn for good. Its id can't be granted again.
