--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,123 @@
+package consensus
+
+func (n *Node) resetElectionTimer() {
+	n.elapsed = 0
+	n.timeout = ElectionMinTicks + n.rng.IntN(ElectionMaxTicks-ElectionMinTicks+1)
+}
+
+// becomeFollower enters term, which must not be lower than the current one. leader is 0 if unknown.
+func (n *Node) becomeFollower(term, leader uint64) {
+	if term > n.term {
+		n.term = term
+		n.vote = 0
+	}
+	if n.role != Follower || leader == 0 {
+		n.resetElectionTimer()
+	}
+	n.dropReads()
+	n.role = Follower
+	n.leader = leader
+	n.votes = nil
+	n.progress = nil
+	n.transferTo = 0
+}
+
+// campaign starts a pre-vote (PreCandidate) or an election (Candidate).
+func (n *Node) campaign(role Role) {
+	n.resetElectionTimer()
+	n.role = role
+	n.leader = 0
+	n.votes = map[uint64]bool{n.id: true}
+	kind := MsgPreVote
+	if role == Candidate {
+		kind = MsgVote
+		n.term++
+		n.vote = n.id
+	} else {
+		n.force = false
+	}
+	if n.tally() {
+		return
+	}
+	for _, m := range n.members {
+		if m.Learner || m.ID == n.id {
+			continue
+		}
+		n.send(Message{Kind: kind, To: m.ID, Index: n.log.last(), LogTerm: n.log.lastTerm(), Force: n.force})
+	}
+}
+
+// tally moves on once a quorum has granted its votes, and reports whether it has.
+func (n *Node) tally() bool {
+	granted := 0
+	for id := range n.votes {
+		if n.isVoter(id) {
+			granted++
+		}
+	}
+	if granted < n.quorum() {
+		return false
+	}
+	if n.role == PreCandidate {
+		n.campaign(Candidate)
+	} else {
+		n.becomeLeader()
+	}
+	return true
+}
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.id
+	n.votes = nil
+	n.progress = map[uint64]*progress{}
+	n.round = 0
+	n.heartbeatTicks = 0
+	n.transferTo = 0
+	n.syncProgress()
+	n.appendOwn(Entry{Kind: EntryEmpty})
+}
+
+// hearsLeader reports whether this member is the leader or heard from one recently.
+func (n *Node) hearsLeader() bool {
+	return n.role == Leader || n.leader != 0 && n.sinceLeader < ElectionMinTicks
+}
+
+// handlePreVote answers whether this member would vote for the sender in the next term. Index and
+// LogTerm describe the end of the sender's log.
+func (n *Node) handlePreVote(m Message) {
+	granted := n.log.upToDate(m.Index, m.LogTerm)
+	n.send(Message{Kind: MsgPreVoteReply, To: m.From, Reject: !granted})
+}
+
+// handleVote grants at most one vote per term.
+func (n *Node) handleVote(m Message) {
+	free := n.vote == 0 || n.vote == m.From
+	granted := free && n.log.upToDate(m.Index, m.LogTerm)
+	if granted {
+		n.becomeFollower(n.term, 0)
+		n.vote = m.From
+	}
+	n.send(Message{Kind: MsgVoteReply, To: m.From, Reject: !granted})
+}
+
+func (n *Node) handleVoteReply(m Message) {
+	wanted := PreCandidate
+	if m.Kind == MsgVoteReply {
+		wanted = Candidate
+	}
+	if n.role != wanted || m.Reject {
+		return
+	}
+	n.votes[m.From] = true
+	n.tally()
+}
+
+// handleTimeoutNow starts an election at the leader's request, without a pre-vote.
+func (n *Node) handleTimeoutNow(m Message) {
+	if n.role != Follower || m.From != n.leader || !n.isVoter(n.id) {
+		return
+	}
+	n.force = true
+	n.campaign(Candidate)
+}
--- /dev/null
+++ b/internal/consensus/membership.go
@@ -0,0 +1,147 @@
+package consensus
+
+import "slices"
+
+// AddLearner proposes a new member without a vote. The leader promotes it once it has caught up. A
+// member with the same address must be removed first, so that a host whose disk was lost doesn't
+// count twice towards the size of the quorum.
+func (n *Node) AddLearner(m Member) (index, term uint64, err error) {
+	if err := n.checkChange(); err != nil {
+		return 0, 0, err
+	}
+	same := func(o Member) bool { return o.ID == m.ID || o.Addr == m.Addr }
+	if m.ID == 0 || slices.ContainsFunc(n.members, same) {
+		return 0, 0, ErrMemberExists
+	}
+	m.Learner = true
+	members := append(slices.Clone(n.members), m)
+	return n.proposeMembers(members)
+}
+
+// RemoveMember proposes the removal of a member. It is refused when the reachable voters that remain
+// would be no quorum.
+func (n *Node) RemoveMember(id uint64) (index, term uint64, err error) {
+	if err := n.checkChange(); err != nil {
+		return 0, 0, err
+	}
+	remaining := slices.DeleteFunc(slices.Clone(n.members), func(m Member) bool { return m.ID == id })
+	if len(remaining) == len(n.members) {
+		return 0, 0, ErrUnknownMember
+	}
+	if !n.hasContact(remaining) {
+		return 0, 0, ErrQuorumAtRisk
+	}
+	return n.proposeMembers(remaining)
+}
+
+// checkChange allows one change at a time, and none before the leader has committed an entry of its
+// term: two leaders could otherwise change the same membership in different ways and use quorums
+// that don't overlap.
+func (n *Node) checkChange() error {
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if n.transferTo != 0 {
+		return ErrTransferring
+	}
+	if n.membersIndex > n.log.commit || !n.committedInTerm() {
+		return ErrChangePending
+	}
+	return nil
+}
+
+func (n *Node) proposeMembers(members []Member) (index, term uint64, err error) {
+	n.appendOwn(Entry{Kind: EntryMembers, Members: members})
+	return n.log.last(), n.term, nil
+}
+
+// promoteLearner gives a vote to one learner that has caught up.
+func (n *Node) promoteLearner() {
+	if n.checkChange() != nil {
+		return
+	}
+	for i, m := range n.members {
+		pr := n.progress[m.ID]
+		if !m.Learner || pr == nil || pr.match < n.membersIndex || pr.match+promoteLagEntries < n.log.commit {
+			continue
+		}
+		members := slices.Clone(n.members)
+		members[i].Learner = false
+		if pr.silent < ElectionMinTicks && n.hasContact(members) {
+			n.proposeMembers(members)
+			return
+		}
+	}
+}
+
+// stepDownIfRemoved ends the leadership of a member whose removal is committed.
+func (n *Node) stepDownIfRemoved() {
+	if n.membersIndex <= n.log.commit && !n.isVoter(n.id) {
+		n.broadcastHeartbeat()
+		n.becomeFollower(n.term, 0)
+	}
+}
+
+// setMembers puts a membership into force. A membership counts from the moment that its entry is
+// appended, not when it is committed.
+func (n *Node) setMembers(members []Member, index uint64) {
+	n.members = members
+	n.membersIndex = index
+	if n.role == Leader {
+		n.syncProgress()
+	}
+}
+
+// reloadMembers finds the latest membership in log and snapshot.
+func (n *Node) reloadMembers() {
+	members, index := n.membersAt(n.log.last())
+	n.setMembers(members, index)
+}
+
+// membersAt returns the membership after the entry at index, and the index it comes from.
+func (n *Node) membersAt(index uint64) ([]Member, uint64) {
+	for i := len(n.log.entries) - 1; i >= 0; i-- {
+		e := n.log.entries[i]
+		if e.Index > index {
+			continue
+		}
+		if e.Index <= n.snapshot.Index {
+			break
+		}
+		if e.Kind == EntryMembers {
+			return e.Members, e.Index
+		}
+	}
+	return n.snapshot.Members, n.snapshot.Index
+}
+
+// syncProgress adds progress for new members and drops that of removed ones.
+func (n *Node) syncProgress() {
+	current := map[uint64]*progress{}
+	for _, m := range n.members {
+		pr := n.progress[m.ID]
+		if pr == nil {
+			pr = &progress{next: n.log.last() + 1}
+		}
+		current[m.ID] = pr
+	}
+	n.progress = current
+	if own := current[n.id]; own != nil {
+		own.match = n.log.stable
+	}
+}
+
+func (n *Node) isVoter(id uint64) bool {
+	return slices.ContainsFunc(n.members, func(m Member) bool { return m.ID == id && !m.Learner })
+}
+
+// quorum returns the number of voters that form a majority.
+func (n *Node) quorum() int {
+	voters := 0
+	for _, m := range n.members {
+		if !m.Learner {
+			voters++
+		}
+	}
+	return voters/2 + 1
+}
