Add the wal package; let a leader that removes itself campaign

A leader that had appended its own removal and crashed before sending it blocked elections: it had the longer log but didn't campaign. It may now campaign while the removal is uncommitted.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -40,7 +40,6 @@
 	node *Node // nil while crashed
 	sm   machine
 	gone bool // the disk was lost
-	lead uint64
 }
 
 // cluster runs members over a network that loses, duplicates, delays and reorders messages.
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -22,6 +22,17 @@
 	n.transferTo = 0
 }
 
+// mayCampaign reports whether this member may start an election. A leader that has appended its own
+// removal may still be the only one with that entry; it must be able to lead until the entry is
+// committed, although its vote doesn't count.
+func (n *Node) mayCampaign() bool {
+	if n.isVoter(n.id) {
+		return true
+	}
+	committed, _ := n.membersAt(n.log.commit)
+	return isVoterIn(committed, n.id)
+}
+
 // campaign starts a pre-vote (PreCandidate) or an election (Candidate).
 func (n *Node) campaign(role Role) {
 	n.resetElectionTimer()
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -131,8 +131,10 @@
 	}
 }
 
-func (n *Node) isVoter(id uint64) bool {
-	return slices.ContainsFunc(n.members, func(m Member) bool { return m.ID == id && !m.Learner })
+func (n *Node) isVoter(id uint64) bool { return isVoterIn(n.members, id) }
+
+func isVoterIn(members []Member, id uint64) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.ID == id && !m.Learner })
 }
 
 // quorum returns the number of voters that form a majority.
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -105,10 +105,8 @@
 		return
 	}
 	n.elapsed++
-	if !n.isVoter(n.id) {
-		return
-	}
-	if n.elapsed >= n.timeout || n.quorum() == 1 {
+	alone := n.isVoter(n.id) && n.quorum() == 1
+	if alone || n.elapsed >= n.timeout && n.mayCampaign() {
 		n.campaign(PreCandidate)
 	}
 }
--- /dev/null
+++ b/internal/wal/load.go
@@ -0,0 +1,261 @@
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/citronrun/citronrun/internal/consensus"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+const (
+	segmentSuffix  = ".log"
+	snapshotSuffix = ".snapshot"
+	tempSuffix     = ".tmp"
+	lockName       = "lock"
+)
+
+// State is what a Log holds when it is opened.
+type State struct {
+	Member   uint64 // id of the member that owns the folder
+	Fresh    bool   // the folder was empty; Member was drawn now
+	Hard     consensus.HardState
+	Snapshot consensus.Snapshot
+	Entries  []consensus.Entry // after Snapshot.Index
+}
+
+// segment describes one log file.
+type segment struct {
+	seq   uint64
+	name  string
+	last  uint64 // highest index of an entry in the file
+	bytes int64
+}
+
+// loader replays the files of a folder.
+type loader struct {
+	log     *Log
+	state   State
+	base    position
+	entries []consensus.Entry
+}
+
+// scan returns the names of the files with a suffix in order, and removes temporary files.
+func (l *Log) scan() (segments, snapshots []string, err error) {
+	names, err := l.fs.ReadDir(l.dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		switch {
+		case strings.HasSuffix(name, segmentSuffix):
+			segments = append(segments, name)
+		case strings.HasSuffix(name, snapshotSuffix):
+			snapshots = append(snapshots, name)
+		case strings.HasSuffix(name, tempSuffix):
+			if err := l.fs.Remove(l.path(name)); err != nil {
+				return nil, nil, err
+			}
+		}
+	}
+	return segments, snapshots, nil
+}
+
+func (l *Log) path(name string) string { return filepath.Join(l.dir, name) }
+
+// load reads the folder. It reports Fresh if nothing was ever acknowledged from it.
+func (l *Log) load() (State, error) {
+	segments, snapshots, err := l.scan()
+	if err != nil {
+		return State{}, err
+	}
+	if len(segments) == 0 && len(snapshots) > 0 {
+		return State{}, &CorruptError{File: l.path(snapshots[0]), Reason: "there is a snapshot but no log"}
+	}
+	ld := &loader{log: l}
+	for i, name := range segments {
+		if err := ld.readSegment(name, i == len(segments)-1); err != nil {
+			return State{}, err
+		}
+	}
+	if len(snapshots) > 0 {
+		if err := ld.readSnapshot(snapshots[len(snapshots)-1]); err != nil {
+			return State{}, err
+		}
+	}
+	if len(l.segments) == 0 {
+		if len(snapshots) > 0 {
+			return State{}, &CorruptError{File: l.path(segments[0]), Reason: "the first record is missing"}
+		}
+		return State{Fresh: true}, nil
+	}
+	return ld.join()
+}
+
+// readSegment replays one segment. A torn record at the end of the last segment is cut off.
+func (ld *loader) readSegment(name string, last bool) error {
+	l := ld.log
+	path := l.path(name)
+	data, err := l.fs.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	seg := segment{name: name}
+	for seg.bytes < int64(len(data)) {
+		f := parse(data[seg.bytes:])
+		if f.reason != "" && f.torn && last {
+			break
+		}
+		if f.reason == "" {
+			f.reason = ld.replay(f.body, &seg)
+		}
+		if f.reason != "" {
+			return &CorruptError{File: path, Offset: seg.bytes, Reason: f.reason}
+		}
+		seg.bytes += f.size
+	}
+	if seg.bytes == 0 {
+		return ld.dropEmptySegment(path, last)
+	}
+	l.segments = append(l.segments, seg)
+	if seg.bytes < int64(len(data)) {
+		return l.fs.Truncate(path, seg.bytes)
+	}
+	return nil
+}
+
+// dropEmptySegment removes a segment whose first record was cut off by a crash.
+func (ld *loader) dropEmptySegment(path string, last bool) error {
+	if !last {
+		return &CorruptError{File: path, Reason: "the segment is empty"}
+	}
+	if err := ld.log.fs.Remove(path); err != nil {
+		return err
+	}
+	return ld.log.fs.SyncDir(ld.log.dir)
+}
+
+// replay applies one record and returns why it is invalid, or an empty text.
+func (ld *loader) replay(body []byte, seg *segment) string {
+	var rec record
+	if err := wire.Unmarshal(body, &rec); err != nil {
+		return err.Error()
+	}
+	if reason := ld.checkFirst(rec, seg); reason != "" {
+		return reason
+	}
+	if rec.Hard != nil {
+		if rec.Hard.Term < ld.state.Hard.Term {
+			return fmt.Sprintf("term %d follows term %d", rec.Hard.Term, ld.state.Hard.Term)
+		}
+		ld.state.Hard = *rec.Hard
+	}
+	if rec.Reset != nil {
+		ld.base = *rec.Reset
+		ld.entries = nil
+	}
+	return ld.replayEntries(rec.Entries, seg)
+}
+
+func (ld *loader) checkFirst(rec record, seg *segment) string {
+	if seg.bytes > 0 {
+		return ""
+	}
+	if rec.Member == 0 || segmentName(rec.Segment) != seg.name {
+		return "the first record doesn't belong to this segment"
+	}
+	if k := len(ld.log.segments); k > 0 && rec.Segment != ld.log.segments[k-1].seq+1 {
+		return "the segment before this one is missing"
+	}
+	if ld.state.Member != 0 && rec.Member != ld.state.Member {
+		return "the segment belongs to another member"
+	}
+	seg.seq = rec.Segment
+	ld.state.Member = rec.Member
+	return ""
+}
+
+func (ld *loader) replayEntries(entries []consensus.Entry, seg *segment) string {
+	for _, e := range entries {
+		if len(ld.entries) == 0 {
+			// Earlier entries may have been removed with their segments.
+			ld.entries = append(ld.entries, e)
+			seg.last = max(seg.last, e.Index)
+			continue
+		}
+		first := ld.entries[0].Index
+		if e.Index > first+uint64(len(ld.entries)) {
+			return fmt.Sprintf("entry %d is missing", first+uint64(len(ld.entries)))
+		}
+		keep := max(e.Index, first) - first
+		ld.entries = append(ld.entries[:keep], e)
+		seg.last = max(seg.last, e.Index)
+	}
+	return ""
+}
+
+func (ld *loader) readSnapshot(name string) error {
+	path := ld.log.path(name)
+	data, err := ld.log.fs.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	f := frame{reason: "the file is empty"}
+	if len(data) > 0 {
+		f = parse(data)
+	}
+	if f.reason == "" {
+		if err := wire.Unmarshal(f.body, &ld.state.Snapshot); err != nil {
+			f.reason = err.Error()
+		}
+	}
+	if f.reason == "" && snapshotName(ld.state.Snapshot.Index) != name {
+		f.reason = "the snapshot is of another index"
+	}
+	if f.reason != "" {
+		return &CorruptError{File: path, Reason: f.reason}
+	}
+	return nil
+}
+
+// join combines snapshot and entries. Entries after the snapshot count only if the log holds the
+// snapshot's own entry or starts directly after it; else they are from before the installation of a
+// snapshot that a crash interrupted.
+func (ld *loader) join() (State, error) {
+	s := ld.state
+	if s.Hard.Term < s.Snapshot.Term {
+		// A crash interrupted Install. The member can't have voted in the snapshot's term.
+		s.Hard = consensus.HardState{Term: s.Snapshot.Term}
+	}
+	at := position{Index: s.Snapshot.Index, Term: s.Snapshot.Term}
+	if ld.base.Index > at.Index {
+		return State{}, &CorruptError{File: ld.log.dir, Reason: fmt.Sprintf("the snapshot at %d is missing", ld.base.Index)}
+	}
+	if len(ld.entries) == 0 {
+		return s, ld.resetTo(at)
+	}
+	first := ld.entries[0].Index
+	last := first + uint64(len(ld.entries)) - 1
+	switch {
+	case first > at.Index+1:
+		return State{}, &CorruptError{File: ld.log.dir, Reason: fmt.Sprintf("entry %d is missing", at.Index+1)}
+	case last <= at.Index:
+		return s, ld.resetTo(at)
+	case first <= at.Index && ld.entries[at.Index-first].Term != at.Term:
+		return s, ld.resetTo(at)
+	}
+	s.Entries = ld.entries[at.Index+1-first:]
+	return s, nil
+}
+
+// resetTo records that the log restarts after a snapshot, unless it does so already.
+func (ld *loader) resetTo(at position) error {
+	if ld.base == at && len(ld.entries) == 0 {
+		return nil
+	}
+	ld.log.reset = &at
+	return nil
+}
--- /dev/null
+++ b/internal/wal/memfs_test.go
@@ -0,0 +1,174 @@
+package wal
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"slices"
+)
+
+var errInjected = errors.New("injected fault")
+
+// memFile is a file in memory with the part of it that survives a crash.
+type memFile struct {
+	data   []byte
+	synced []byte
+}
+
+// memFS is a file system in memory. crash returns what a machine would find after a power failure.
+type memFS struct {
+	files   map[string]*memFile // as seen by the process
+	durable map[string]*memFile // folder entries that survive a crash
+	locked  bool
+	ops     int // modifying operations so far
+	failAt  int // the operation with this number fails; 0: none
+	short   bool
+	dead    bool // after the fault, all operations fail
+	sticky  bool // the fault leaves the process unable to write
+}
+
+func newMemFS() *memFS {
+	return &memFS{files: map[string]*memFile{}, durable: map[string]*memFile{}}
+}
+
+// step counts a modifying operation and fails if it is the chosen one.
+func (m *memFS) step() error {
+	m.ops++
+	if m.dead {
+		return errInjected
+	}
+	if m.ops == m.failAt {
+		m.dead = m.sticky
+		return errInjected
+	}
+	return nil
+}
+
+// crash keeps synced data and, for each file, the first keep bytes of what was written after it.
+func (m *memFS) crash(keep int) *memFS {
+	after := newMemFS()
+	for name, f := range m.durable {
+		data := slices.Clone(f.synced)
+		if bytes.HasPrefix(f.data, f.synced) {
+			data = slices.Clone(f.data[:min(len(f.data), len(f.synced)+keep)])
+		}
+		nf := &memFile{data: data, synced: data}
+		after.files[name], after.durable[name] = nf, nf
+	}
+	return after
+}
+
+func (m *memFS) MkdirAll(string) error { return nil }
+
+func (m *memFS) ReadDir(string) ([]string, error) {
+	var names []string
+	for name := range m.files {
+		names = append(names, filepath.Base(name))
+	}
+	return names, nil
+}
+
+func (m *memFS) ReadFile(name string) ([]byte, error) {
+	f := m.files[name]
+	if f == nil {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(f.data), nil
+}
+
+func (m *memFS) Create(name string) (File, error) {
+	if err := m.step(); err != nil {
+		return nil, err
+	}
+	f := &memFile{}
+	m.files[name] = f
+	return &memHandle{fs: m, file: f}, nil
+}
+
+func (m *memFS) Append(name string) (File, error) {
+	return &memHandle{fs: m, file: m.files[name]}, nil
+}
+
+func (m *memFS) Truncate(name string, size int64) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	f := m.files[name]
+	f.data = slices.Clone(f.data[:size])
+	f.synced = slices.Clone(f.data)
+	return nil
+}
+
+func (m *memFS) Rename(from, to string) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	m.files[to] = m.files[from]
+	delete(m.files, from)
+	return nil
+}
+
+func (m *memFS) Remove(name string) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	delete(m.files, name)
+	return nil
+}
+
+func (m *memFS) SyncDir(string) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	m.durable = map[string]*memFile{}
+	for name, f := range m.files {
+		m.durable[name] = f
+	}
+	return nil
+}
+
+func (m *memFS) Lock(name string) (io.Closer, error) {
+	if m.locked {
+		return nil, fmt.Errorf("%s is locked", name)
+	}
+	m.locked = true
+	return unlocker{m}, nil
+}
+
+type unlocker struct{ fs *memFS }
+
+func (u unlocker) Close() error {
+	u.fs.locked = false
+	return nil
+}
+
+type memHandle struct {
+	fs   *memFS
+	file *memFile
+}
+
+// Write appends data. A failing write leaves half of it, and with short set reports no error.
+func (h *memHandle) Write(p []byte) (int, error) {
+	if err := h.fs.step(); err != nil {
+		h.file.data = append(h.file.data, p[:len(p)/2]...)
+		if h.fs.short {
+			return len(p) / 2, nil
+		}
+		return len(p) / 2, err
+	}
+	h.file.data = append(h.file.data, p...)
+	return len(p), nil
+}
+
+func (h *memHandle) Sync() error {
+	if err := h.fs.step(); err != nil {
+		return err
+	}
+	h.file.synced = slices.Clone(h.file.data)
+	return nil
+}
+
+func (h *memHandle) Close() error { return nil }
--- /dev/null
+++ b/internal/wal/snapshot.go
@@ -0,0 +1,66 @@
+package wal
+
+import (
+	"io"
+	"strings"
+
+	"github.com/citronrun/citronrun/internal/consensus"
+)
+
+// writeSnapshot writes a temporary file, syncs it, renames it and syncs the folder, so that a crash
+// leaves either the previous snapshot or the new one.
+func (l *Log) writeSnapshot(s consensus.Snapshot) error {
+	buf, err := encode(s)
+	if err != nil {
+		return err
+	}
+	name := snapshotName(s.Index)
+	temp := name + tempSuffix
+	if err := l.writeFile(temp, buf); err != nil {
+		return err
+	}
+	if err := l.fs.Rename(l.path(temp), l.path(name)); err != nil {
+		return err
+	}
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return err
+	}
+	l.snapshot = s.Index
+	return l.removeSnapshotsBefore(name)
+}
+
+func (l *Log) writeFile(name string, data []byte) error {
+	file, err := l.fs.Create(l.path(name))
+	if err != nil {
+		return err
+	}
+	n, err := file.Write(data)
+	if err == nil && n < len(data) {
+		err = io.ErrShortWrite
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// removeSnapshotsBefore needs no sync of the folder: a file that returns after a crash is older
+// than the latest one and is removed next time.
+func (l *Log) removeSnapshotsBefore(latest string) error {
+	names, err := l.fs.ReadDir(l.dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, snapshotSuffix) || name >= latest {
+			continue
+		}
+		if err := l.fs.Remove(l.path(name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wal/wal.go
@@ -0,0 +1,240 @@
+// Package wal keeps the log, the term and vote, and the snapshots of one consensus member in a
+// folder.
+//
+// Segments are files of checksummed records, named by a sequence number. A snapshot is a file of its
+// own, named by its index. Save and SaveSnapshot return only after files and folder are synced.
+// After a failed write or sync the state of the disk is unknown, so that a Log then refuses all
+// further writes until the folder is opened again.
+package wal
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/citronrun/citronrun/internal/consensus"
+)
+
+// DefaultSegmentBytes is the size at which a new segment is started.
+const DefaultSegmentBytes = 1 << 20
+
+// Options configure a Log.
+type Options struct {
+	FS           FS            // nil: OS
+	SegmentBytes int64         // 0: DefaultSegmentBytes
+	NewMember    func() uint64 // draws the id of a new member; used only for an empty folder
+}
+
+// Log is an open folder. It must be used by one goroutine at a time.
+type Log struct {
+	fs       FS
+	dir      string
+	limit    int64
+	member   uint64
+	hard     consensus.HardState
+	snapshot uint64 // index of the latest snapshot
+	lock     io.Closer
+	file     File // last segment
+	segments []segment
+	reset    *position // to be recorded when the folder is opened
+	failed   error
+}
+
+// Open locks a folder, creates it if needed and loads its state. Damage other than a torn last
+// record is reported as *CorruptError.
+func Open(dir string, opts Options) (*Log, State, error) {
+	l := &Log{fs: opts.FS, dir: dir, limit: opts.SegmentBytes}
+	if l.fs == nil {
+		l.fs = OS{}
+	}
+	if l.limit == 0 {
+		l.limit = DefaultSegmentBytes
+	}
+	if err := l.fs.MkdirAll(dir); err != nil {
+		return nil, State{}, fmt.Errorf("open log folder: %w", err)
+	}
+	lock, err := l.fs.Lock(l.path(lockName))
+	if err != nil {
+		return nil, State{}, fmt.Errorf("open log folder: %w", err)
+	}
+	l.lock = lock
+	state, err := l.start(opts)
+	if err != nil {
+		_ = l.Close()
+		return nil, State{}, fmt.Errorf("open log folder: %w", err)
+	}
+	return l, state, nil
+}
+
+func (l *Log) start(opts Options) (State, error) {
+	state, err := l.load()
+	if err != nil {
+		return State{}, err
+	}
+	if state.Fresh {
+		state.Member = opts.NewMember()
+	}
+	l.member = state.Member
+	l.hard = state.Hard
+	l.snapshot = state.Snapshot.Index
+	if len(l.segments) == 0 {
+		return state, l.roll()
+	}
+	l.file, err = l.fs.Append(l.path(l.segments[len(l.segments)-1].name))
+	if err != nil {
+		return State{}, err
+	}
+	// Records that are read back were perhaps never synced, and a torn one was cut off.
+	if err := l.file.Sync(); err != nil {
+		return State{}, err
+	}
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return State{}, err
+	}
+	if l.reset != nil {
+		err = l.write(record{Hard: &state.Hard, Reset: l.reset})
+	}
+	return state, err
+}
+
+// Save makes hard state and entries durable. Entries replace the log from the first one's index on.
+func (l *Log) Save(hard *consensus.HardState, entries []consensus.Entry) error {
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	return l.write(record{Hard: hard, Entries: entries})
+}
+
+// SaveSnapshot makes a snapshot of the own state machine durable and removes older ones.
+func (l *Log) SaveSnapshot(s consensus.Snapshot) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if err := l.writeSnapshot(s); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
+
+// Install makes a snapshot from the leader durable. It replaces the whole log.
+func (l *Log) Install(s consensus.Snapshot, hard consensus.HardState) error {
+	if err := l.SaveSnapshot(s); err != nil {
+		return err
+	}
+	return l.write(record{Hard: &hard, Reset: &position{Index: s.Index, Term: s.Term}})
+}
+
+// Compact removes the segments at the front that hold no entry from index first on. Entries after
+// the latest snapshot are always kept.
+func (l *Log) Compact(first uint64) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	first = min(first, l.snapshot)
+	count := 0
+	for count < len(l.segments)-1 && l.segments[count].last < first {
+		count++
+	}
+	if count == 0 {
+		return nil
+	}
+	for _, seg := range l.segments[:count] {
+		if err := l.fs.Remove(l.path(seg.name)); err != nil {
+			return l.fail(err)
+		}
+		// The folder is synced after each file, so that a crash never leaves a gap.
+		if err := l.fs.SyncDir(l.dir); err != nil {
+			return l.fail(err)
+		}
+	}
+	l.segments = l.segments[count:]
+	return nil
+}
+
+// Close releases the folder.
+func (l *Log) Close() error {
+	l.failed = fmt.Errorf("log is closed")
+	var err error
+	if l.file != nil {
+		err = l.file.Close()
+	}
+	if lockErr := l.lock.Close(); err == nil {
+		err = lockErr
+	}
+	return err
+}
+
+func (l *Log) fail(err error) error {
+	l.failed = fmt.Errorf("log refuses writes after a failure: %w", err)
+	return l.failed
+}
+
+// write appends a record and syncs it.
+func (l *Log) write(rec record) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if err := l.append(rec); err != nil {
+		return l.fail(err)
+	}
+	if l.segments[len(l.segments)-1].bytes < l.limit {
+		return nil
+	}
+	if err := l.roll(); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
+
+func (l *Log) append(rec record) error {
+	buf, err := encode(rec)
+	if err != nil {
+		return err
+	}
+	n, err := l.file.Write(buf)
+	if err == nil && n < len(buf) {
+		err = io.ErrShortWrite
+	}
+	if err != nil {
+		return err
+	}
+	if err := l.file.Sync(); err != nil {
+		return err
+	}
+	seg := &l.segments[len(l.segments)-1]
+	seg.bytes += int64(len(buf))
+	for _, e := range rec.Entries {
+		seg.last = max(seg.last, e.Index)
+	}
+	if rec.Hard != nil {
+		l.hard = *rec.Hard
+	}
+	return nil
+}
+
+// roll starts a new segment. Its first record repeats the member id and the hard state, so that
+// earlier segments can be removed.
+func (l *Log) roll() error {
+	seq := uint64(1)
+	if k := len(l.segments); k > 0 {
+		seq = l.segments[k-1].seq + 1
+	}
+	name := segmentName(seq)
+	file, err := l.fs.Create(l.path(name))
+	if err != nil {
+		return err
+	}
+	if l.file != nil {
+		_ = l.file.Close() // already synced
+	}
+	l.file = file
+	l.segments = append(l.segments, segment{seq: seq, name: name})
+	hard := l.hard
+	if err := l.append(record{Segment: seq, Member: l.member, Hard: &hard}); err != nil {
+		return err
+	}
+	return l.fs.SyncDir(l.dir)
+}
+
+func segmentName(seq uint64) string { return fmt.Sprintf("%016x%s", seq, segmentSuffix) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%016x%s", index, snapshotSuffix) }
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,235 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/citronrun/citronrun/internal/consensus"
+	"github.com/matryer/is"
+)
+
+const testMember = 77
+
+func open(fsys FS) (*Log, State, error) {
+	return Open("d", Options{FS: fsys, SegmentBytes: 400, NewMember: func() uint64 { return testMember }})
+}
+
+func entry(index, term uint64) consensus.Entry {
+	return consensus.Entry{Index: index, Term: term, Data: []byte(fmt.Sprint("value ", index, " of term ", term))}
+}
+
+func snapshotAt(index, term uint64) consensus.Snapshot {
+	return consensus.Snapshot{Index: index, Term: term, Members: []consensus.Member{{ID: testMember}}, Data: []byte("state")}
+}
+
+// script runs a fixed sequence of writes and returns the last acknowledged state of the log.
+func script(l *Log) (acked State) {
+	acked = State{Member: testMember}
+	install := func(s consensus.Snapshot) bool {
+		hard := consensus.HardState{Term: s.Term, Commit: s.Index}
+		if l.Install(s, hard) != nil {
+			return false
+		}
+		acked = State{Member: testMember, Hard: hard, Snapshot: s}
+		return true
+	}
+	if !install(snapshotAt(1, 1)) {
+		return acked
+	}
+	for i := uint64(2); i <= 30; i++ {
+		hard := consensus.HardState{Term: 1 + i/10, Vote: i}
+		if l.Save(&hard, []consensus.Entry{entry(i, hard.Term)}) != nil {
+			return acked
+		}
+		acked.Hard = hard
+		acked.Entries = append(acked.Entries, entry(i, hard.Term))
+		if i%8 != 0 {
+			continue
+		}
+		s := snapshotAt(i, hard.Term)
+		if l.SaveSnapshot(s) != nil || l.Compact(i-2) != nil {
+			return acked
+		}
+		acked.Snapshot, acked.Entries = s, nil
+	}
+	install(snapshotAt(60, 9))
+	return acked
+}
+
+// check compares a loaded state with what was acknowledged: nothing of it may be missing, but the
+// write that failed may have reached the disk.
+func check(is *is.I, acked, got State) {
+	is.Helper()
+	if len(acked.Entries) == 0 && acked.Snapshot.Index == 0 {
+		return
+	}
+	is.Equal(got.Member, uint64(testMember))
+	is.True(got.Snapshot.Index >= acked.Snapshot.Index)
+	is.True(got.Hard.Term >= acked.Hard.Term)
+	if got.Hard.Term == acked.Hard.Term {
+		is.True(got.Hard.Vote >= acked.Hard.Vote) // the script's votes grow
+	}
+	for _, e := range acked.Entries {
+		if e.Index <= got.Snapshot.Index {
+			continue
+		}
+		is.Equal(got.Entries[e.Index-got.Snapshot.Index-1], e)
+	}
+}
+
+// TestCrashAtEachOperation guards against acknowledged data that is lost, and folders that can't be
+// opened, after a crash at each write, sync, rename and removal.
+func TestCrashAtEachOperation(t *testing.T) {
+	is := is.New(t)
+	probe := newMemFS()
+	l, _, err := open(probe)
+	is.NoErr(err)
+	full := script(l)
+	is.Equal(full.Snapshot.Index, uint64(60))
+	for failAt := 1; failAt <= probe.ops; failAt++ {
+		for _, keep := range []int{0, 5, 20, 1 << 20} {
+			fsys := newMemFS()
+			fsys.failAt, fsys.sticky = failAt, true
+			acked := State{}
+			if l, _, err := open(fsys); err == nil {
+				acked = script(l)
+			}
+			after := fsys.crash(keep)
+			l, got, err := open(after)
+			is.NoErr(err)
+			check(is, acked, got)
+			next := got.Snapshot.Index + uint64(len(got.Entries)) + 1
+			hard := consensus.HardState{Term: 20}
+			is.NoErr(l.Save(&hard, []consensus.Entry{entry(next, 20)}))
+			_, again, err := open(after.crash(0))
+			is.NoErr(err)
+			is.Equal(len(again.Entries), len(got.Entries)+1)
+		}
+	}
+	t.Logf("crashed at each of %d operations, with 4 amounts of unsynced data each", probe.ops)
+}
+
+// TestRefusesWritesAfterFault guards against writes after a failed write, short write or sync, when
+// the state of the disk is unknown.
+func TestRefusesWritesAfterFault(t *testing.T) {
+	is := is.New(t)
+	for _, short := range []bool{false, true} {
+		for offset := 1; offset <= 2; offset++ { // the write (disk full, short write) and the sync
+			fsys := newMemFS()
+			fsys.short = short
+			l, _, err := open(fsys)
+			is.NoErr(err)
+			is.NoErr(l.Save(nil, []consensus.Entry{entry(1, 1)}))
+			fsys.failAt = fsys.ops + offset
+			is.True(l.Save(nil, []consensus.Entry{entry(2, 1)}) != nil)
+			ops := fsys.ops
+			is.True(l.Save(nil, []consensus.Entry{entry(3, 1)}) != nil)
+			is.True(l.SaveSnapshot(snapshotAt(1, 1)) != nil)
+			is.True(l.Compact(1) != nil)
+			is.Equal(fsys.ops, ops) // nothing touched the disk
+		}
+	}
+}
+
+// lastSegment opens a folder with some records and returns the path of its last segment.
+func lastSegment(is *is.I, fsys *memFS, entries uint64) string {
+	l, _, err := open(fsys)
+	is.NoErr(err)
+	is.NoErr(l.Install(snapshotAt(1, 1), consensus.HardState{Term: 1}))
+	for i := uint64(2); i < 2+entries; i++ {
+		is.NoErr(l.Save(nil, []consensus.Entry{entry(i, 1)}))
+	}
+	path := l.path(l.segments[len(l.segments)-1].name)
+	is.NoErr(l.Close())
+	return path
+}
+
+// TestTornLastRecord guards against a torn last record that stops the load or that takes an earlier
+// record with it.
+func TestTornLastRecord(t *testing.T) {
+	is := is.New(t)
+	before := newMemFS()
+	path := lastSegment(is, before, 3)
+	start := len(before.files[path].data)
+	whole := newMemFS()
+	is.Equal(lastSegment(is, whole, 4), path)
+	data := whole.files[path].data
+	for size := start; size < len(data); size++ {
+		for _, zeros := range []bool{false, true} {
+			fsys := whole.crash(0)
+			torn := append([]byte(nil), data[:size]...)
+			if zeros {
+				torn = append(data[:start:start], make([]byte, len(data)-size)...)
+			}
+			fsys.files[path].data = torn
+			_, got, err := open(fsys)
+			is.NoErr(err)
+			is.Equal(len(got.Entries), 3)
+			is.Equal(len(fsys.files[path].data), start) // cut off
+		}
+	}
+}
+
+// TestCorruptionIsRefused guards against the silent loss of acknowledged records: each damaged byte
+// before the last record must stop the load and be reported with file and offset.
+func TestCorruptionIsRefused(t *testing.T) {
+	is := is.New(t)
+	whole := newMemFS()
+	l, _, err := open(whole)
+	is.NoErr(err)
+	script(l)
+	last := l.path(l.segments[len(l.segments)-1].name)
+	tail := lastRecord(whole.files[last].data)
+	count := 0
+	for path, f := range whole.files {
+		for i := range f.data {
+			if path == last && i >= tail {
+				continue
+			}
+			fsys := whole.crash(0)
+			fsys.files[path].data[i] ^= 0x41
+			_, _, err := open(fsys)
+			var corrupt *CorruptError
+			is.True(errors.As(err, &corrupt))
+			is.Equal(corrupt.File, path)
+			is.True(corrupt.Offset <= int64(i))
+			is.True(strings.Contains(err.Error(), "offset"))
+			count++
+		}
+	}
+	t.Logf("%d damaged bytes refused", count)
+}
+
+// lastRecord returns the offset of the last record.
+func lastRecord(data []byte) int {
+	offset := 0
+	for {
+		f := parse(data[offset:])
+		if offset+int(f.size) == len(data) {
+			return offset
+		}
+		offset += int(f.size)
+	}
+}
+
+// TestLockOnDisk guards against two processes that share a folder, and checks the real file system.
+func TestLockOnDisk(t *testing.T) {
+	is := is.New(t)
+	dir := filepath.Join(t.TempDir(), "member")
+	opts := Options{NewMember: func() uint64 { return 5 }}
+	l, state, err := Open(dir, opts)
+	is.NoErr(err)
+	is.True(state.Fresh)
+	_, _, err = Open(dir, opts)
+	is.True(err != nil)
+	is.NoErr(l.Install(snapshotAt(1, 1), consensus.HardState{Term: 1}))
+	is.NoErr(l.Close())
+	l, state, err = Open(dir, Options{})
+	is.NoErr(err)
+	is.Equal(state.Member, uint64(5))
+	is.Equal(state.Snapshot.Index, uint64(1))
+	is.NoErr(l.Close())
+}
