Add state charts, SCRAM, caller sessions and the entry relay

Cause: callers need a path from their connection to the Transactor. Change: statechart, auth, session and entry packages; pgwire gains NewReaderSize, Reset, DropSync.

--- /dev/null
+++ b/internal/auth/auth.go
@@ -0,0 +1,178 @@
+// Package auth creates SCRAM-SHA-256 verifiers (RFC 5802, RFC 7677) and checks callers' keys.
+package auth
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/xdg-go/scram"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+)
+
+const (
+	// SaltBytes is the length of a team's salt.
+	SaltBytes = 16
+	// KeyBytes is the number of random bytes in a key.
+	KeyBytes = 24
+	// DefaultIterations is the PBKDF2 iteration count of new teams. Keys are random, so that the
+	// count needn't make up for weak secrets.
+	DefaultIterations = 4096
+
+	// MinIterations is the lowest count that RFC 7677 allows.
+	MinIterations = 4096
+
+	nonceBytes = 18
+)
+
+// Mechanism is the SASL mechanism offered to callers.
+const Mechanism = "SCRAM-SHA-256"
+
+// ErrRefused means that no key of the team matches, or that there is no such team.
+var ErrRefused = errors.New("key refused")
+
+// NewSalt returns a random salt for a team.
+func NewSalt() []byte {
+	salt := make([]byte, SaltBytes)
+	_, _ = rand.Read(salt) // never fails
+	return salt
+}
+
+// NewKey returns a random key of 192 bits in URL-safe characters.
+func NewKey() string {
+	key := make([]byte, KeyBytes)
+	_, _ = rand.Read(key) // never fails
+	return base64.RawURLEncoding.EncodeToString(key)
+}
+
+// Verifier derives the stored form of a key.
+func Verifier(secret string, salt []byte, iterations int) (catalog.Key, error) {
+	if iterations < MinIterations {
+		return catalog.Key{}, fmt.Errorf("%d PBKDF2 iterations are fewer than %d", iterations, MinIterations)
+	}
+	if len(salt) == 0 || secret == "" {
+		return catalog.Key{}, errors.New("key or salt is empty")
+	}
+	client, err := scram.SHA256.NewClient("", secret, "")
+	if err != nil {
+		return catalog.Key{}, errors.New("key has characters that SASLprep prohibits")
+	}
+	creds, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: iterations})
+	if err != nil {
+		return catalog.Key{}, errors.New("key derivation failed")
+	}
+	return catalog.Key{StoredKey: creds.StoredKey, ServerKey: creds.ServerKey}, nil
+}
+
+// Authenticator checks callers. It is safe for concurrent use.
+type Authenticator struct {
+	secret [sha256.Size]byte // of this process; fake salts are derived from it
+}
+
+// New returns an Authenticator with a random secret.
+func New() *Authenticator {
+	a := &Authenticator{}
+	_, _ = rand.Read(a.secret[:]) // never fails
+	return a
+}
+
+// Exchange is one caller's SCRAM exchange. It isn't safe for concurrent use.
+type Exchange struct {
+	ids   []string
+	convs []*scram.ServerConversation
+}
+
+// Start begins an exchange for a team. An unknown team gets an exchange that can't succeed.
+func (a *Authenticator) Start(name string, team catalog.Team, known bool) (*Exchange, error) {
+	nonce := newNonce()
+	e := &Exchange{}
+	if known {
+		for _, id := range slices.Sorted(maps.Keys(team.Keys)) {
+			if err := e.add(id, team, nonce); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if len(e.convs) > 0 {
+		return e, nil
+	}
+	return e, e.add("", a.fake(name, team, known), nonce)
+}
+
+// add starts a conversation for one key, unless it is withdrawn.
+func (e *Exchange) add(id string, team catalog.Team, nonce string) error {
+	key := team.Keys[id]
+	if key.Withdrawn {
+		return nil
+	}
+	creds := scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(team.Salt), Iters: team.Iterations},
+		StoredKey:  key.StoredKey,
+		ServerKey:  key.ServerKey,
+	}
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return creds, nil })
+	if err != nil {
+		return errors.New("SCRAM server could not be created")
+	}
+	server.WithNonceGenerator(func() string { return nonce })
+	e.ids = append(e.ids, id)
+	e.convs = append(e.convs, server.NewConversation())
+	return nil
+}
+
+// fake returns a team with one key that nobody holds. The salt of an unknown name stays the same
+// during the life of the process, as a real one would.
+func (a *Authenticator) fake(name string, team catalog.Team, known bool) catalog.Team {
+	out := catalog.Team{Salt: a.derive("salt", name)[:SaltBytes], Iterations: DefaultIterations}
+	if known && len(team.Salt) > 0 {
+		out.Salt, out.Iterations = team.Salt, team.Iterations
+	}
+	key := catalog.Key{StoredKey: a.derive("stored", name), ServerKey: a.derive("server", name)}
+	out.Keys = map[string]catalog.Key{"": key}
+	return out
+}
+
+func (a *Authenticator) derive(use, name string) []byte {
+	mac := hmac.New(sha256.New, a.secret[:])
+	_, _ = mac.Write([]byte(use + "\x00" + name))
+	return mac.Sum(nil)
+}
+
+// First takes the client-first message and returns the server-first message.
+func (e *Exchange) First(msg string) (string, error) {
+	var out string
+	for _, c := range e.convs {
+		s, err := c.Step(msg)
+		if err != nil {
+			return "", errors.New("malformed SCRAM message")
+		}
+		out = s
+	}
+	return out, nil
+}
+
+// Final takes the client-final message and returns the server-final message and the id of the key
+// that verified. The error is ErrRefused. Every key is tried, so that the time taken doesn't tell
+// which one matched.
+func (e *Exchange) Final(msg string) (reply, keyID string, err error) {
+	err = ErrRefused
+	for i, c := range e.convs {
+		s, stepErr := c.Step(msg)
+		if stepErr == nil && c.Valid() && e.ids[i] != "" {
+			reply, keyID, err = s, e.ids[i], nil
+		}
+	}
+	return reply, keyID, err
+}
+
+func newNonce() string {
+	b := make([]byte, nonceBytes)
+	_, _ = rand.Read(b) // never fails
+	return base64.StdEncoding.EncodeToString(b)
+}
--- /dev/null
+++ b/internal/auth/auth_test.go
@@ -0,0 +1,80 @@
+package auth
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/xdg-go/scram"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+)
+
+func exchange(t *testing.T, a *Authenticator, name string, team catalog.Team, known bool, key string) (first, id string, err error) {
+	t.Helper()
+	is := is.New(t)
+	client, err := scram.SHA256.NewClient("", key, "")
+	is.NoErr(err)
+	conv := client.NewConversation()
+	c1, err := conv.Step("")
+	is.NoErr(err)
+	ex, err := a.Start(name, team, known)
+	is.NoErr(err)
+	first, err = ex.First(c1)
+	is.NoErr(err)
+	c2, err := conv.Step(first)
+	is.NoErr(err)
+	reply, id, err := ex.Final(c2)
+	if err == nil {
+		_, err = conv.Step(reply)
+		is.NoErr(err) // the caller verifies the server too
+	}
+	return first, id, err
+}
+
+func testTeam(t *testing.T, keys map[string]string) catalog.Team {
+	t.Helper()
+	team := catalog.Team{Salt: NewSalt(), Iterations: DefaultIterations, Keys: map[string]catalog.Key{}}
+	for id, secret := range keys {
+		k, err := Verifier(secret, team.Salt, team.Iterations)
+		is.New(t).NoErr(err)
+		team.Keys[id] = k
+	}
+	return team
+}
+
+// Guards against a key that is accepted as another one, and against withdrawn keys that still work.
+func TestSeveralKeysOfOneTeam(t *testing.T) {
+	is := is.New(t)
+	a := New()
+	one, two, gone := NewKey(), NewKey(), NewKey()
+	is.True(len(one) >= 22) // 128 bits in base64
+	team := testTeam(t, map[string]string{"one": one, "two": two, "gone": gone})
+	k := team.Keys["gone"]
+	k.Withdrawn = true
+	team.Keys["gone"] = k
+	for id, secret := range map[string]string{"one": one, "two": two} {
+		_, got, err := exchange(t, a, "red", team, true, secret)
+		is.NoErr(err)
+		is.Equal(got, id)
+	}
+	for _, secret := range []string{gone, NewKey()} {
+		_, _, err := exchange(t, a, "red", team, true, secret)
+		is.True(errors.Is(err, ErrRefused))
+	}
+}
+
+// Guards against answers that tell unknown teams from known ones.
+func TestUnknownTeamLooksLikeWrongKey(t *testing.T) {
+	is := is.New(t)
+	a := New()
+	salt := func(first string) string { return strings.Split(first, ",")[1] }
+	f1, _, err := exchange(t, a, "nobody", catalog.Team{}, false, NewKey())
+	is.True(errors.Is(err, ErrRefused))
+	f2, _, err := exchange(t, a, "nobody", catalog.Team{}, false, NewKey())
+	is.True(errors.Is(err, ErrRefused))
+	f3, _, _ := exchange(t, a, "other", catalog.Team{}, false, NewKey())
+	is.Equal(salt(f1), salt(f2)) // stable for one name
+	is.True(salt(f1) != salt(f3))
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,284 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/binary"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/citronrun/citronrun/internal/auth"
+	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// ErrServerClosed is returned by Serve after Shutdown.
+var ErrServerClosed = errors.New("entry server closed")
+
+// Server relays the requests of callers. It is safe for concurrent use.
+type Server struct {
+	cfg     Config
+	auth    *auth.Authenticator
+	budget  *retryBudget
+	metrics *serverMetrics
+	logger  log.Logger
+	ctx     context.Context // ends when callers are cut
+	cut     context.CancelFunc
+
+	mu        sync.Mutex
+	closing   bool
+	listeners map[net.Listener]struct{}
+	conns     map[net.Conn]struct{}
+	callers   map[uint32]*caller // by the process id in BackendKeyData
+	lastID    uint32
+	wg        sync.WaitGroup // one per connection
+}
+
+// New returns a Server. Transactor and Directory must be set.
+func New(cfg Config) (*Server, error) {
+	if cfg.Transactor == nil || cfg.Directory == nil {
+		return nil, errors.New("entry needs a transactor and a directory")
+	}
+	if cfg.RequireTLS && cfg.TLS == nil {
+		return nil, errors.New("entry requires TLS but has no certificate")
+	}
+	s := &Server{
+		cfg:       cfg.withDefaults(),
+		auth:      auth.New(),
+		budget:    newRetryBudget(),
+		listeners: map[net.Listener]struct{}{},
+		conns:     map[net.Conn]struct{}{},
+		callers:   map[uint32]*caller{},
+	}
+	s.logger = log.With(s.cfg.Logger, "part", "entry")
+	s.ctx, s.cut = context.WithCancel(context.Background())
+	s.metrics = newServerMetrics(s.cfg.Metrics, func() float64 { return float64(s.connections()) })
+	return s, nil
+}
+
+func (s *Server) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Serve accepts callers until Shutdown or a permanent error of the listener. It closes the listener.
+func (s *Server) Serve(l net.Listener) error {
+	if !s.addListener(l) {
+		_ = l.Close()
+		return ErrServerClosed
+	}
+	for n := 0; ; {
+		nc, err := l.Accept()
+		if err == nil {
+			n = 0
+			s.accept(nc)
+			continue
+		}
+		if s.isClosing() {
+			return ErrServerClosed
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		_ = level.Warn(s.logger).Log("msg", "accept failed", "err", err)
+		if !pause(s.ctx, backoff(n)) { // for example, when file descriptors are short
+			return ErrServerClosed
+		}
+		n++
+	}
+}
+
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
+func (s *Server) accept(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing || len(s.conns) >= 2*s.cfg.MaxConnections {
+		_ = nc.Close() // too many even to send an error to each
+		return
+	}
+	full := len(s.conns) >= s.cfg.MaxConnections
+	s.conns[nc] = struct{}{}
+	s.metrics.accepted.Inc()
+	s.wg.Add(1)
+	go s.handle(nc, full)
+}
+
+func (s *Server) handle(nc net.Conn, full bool) {
+	defer s.wg.Done()
+	defer s.forget(nc)
+	_ = nc.SetDeadline(time.Now().Add(s.cfg.AuthTimeout))
+	if full {
+		s.refuseConnection(nc, verdict.New(verdict.NotRun, verdict.CodeTooBusy, "too many connections at this host"))
+		return
+	}
+	c, err := s.startup(nc)
+	if err != nil {
+		if c != nil {
+			nc = c.nc
+		}
+		s.startupFailed(nc, err)
+		return
+	}
+	if c == nil {
+		return // a cancel request
+	}
+	c.run()
+}
+
+func (s *Server) startupFailed(nc net.Conn, err error) {
+	if e, ok := errors.AsType[*verdict.Error](err); ok {
+		s.refuseConnection(nc, e)
+		return
+	}
+	_ = level.Debug(s.logger).Log("msg", "caller left during startup", "err", err)
+}
+
+func (s *Server) refuseConnection(nc net.Conn, err error) {
+	s.metrics.refusal(err)
+	_ = level.Info(s.logger).Log("msg", "connection refused", "remote", nc.RemoteAddr(), "err", err)
+	_, writeErr := nc.Write(appendFatal(nil, err))
+	if writeErr == nil {
+		linger(nc)
+	}
+}
+
+func (s *Server) forget(nc net.Conn) {
+	_ = nc.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, nc)
+}
+
+// register makes a caller known for cancel requests and Shutdown, and gives it an id and a secret.
+func (s *Server) register(c *caller) {
+	var secret [4]byte
+	_, _ = rand.Read(secret[:]) // never fails
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		s.lastID++
+		if _, used := s.callers[s.lastID]; !used && s.lastID != 0 {
+			break
+		}
+	}
+	c.id, c.secret = s.lastID, binary.BigEndian.Uint32(secret[:])
+	c.draining = s.closing
+	s.callers[c.id] = c
+}
+
+func (s *Server) unregister(c *caller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.callers, c.id)
+}
+
+// cancel forwards a cancel request to the owner if a transaction of the named caller is open.
+func (s *Server) cancel(id, secret uint32) {
+	s.mu.Lock()
+	c := s.callers[id]
+	s.mu.Unlock()
+	if c == nil || s.cfg.Canceler == nil || subtle.ConstantTimeEq(int32(c.secret), int32(secret)) != 1 {
+		return
+	}
+	seq, open := c.openTransaction()
+	if !open {
+		return
+	}
+	ctx, stop := context.WithTimeout(s.ctx, cancelTimeout)
+	defer stop()
+	msg := wire.Cancel{Service: c.service, Session: c.sessionID, Seq: seq}
+	if err := s.cfg.Canceler.Cancel(ctx, msg); err != nil {
+		_ = level.Info(s.logger).Log("msg", "cancel request failed", "service", c.service, "err", err)
+	}
+}
+
+// Shutdown stops accepting callers, lets running transactions finish, and closes each caller's
+// connection between transactions with 57P01. It returns nil when all callers are gone. When ctx
+// ends first, it cuts the remaining ones and returns the error of ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.startClosing()
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		s.cut()
+		return nil
+	case <-ctx.Done():
+	}
+	s.cutAll()
+	<-done
+	return ctx.Err()
+}
+
+func (s *Server) startClosing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+	for _, c := range s.callers {
+		c.drain()
+	}
+}
+
+func (s *Server) cutAll() {
+	s.cut()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for nc := range s.conns {
+		_ = nc.Close()
+	}
+}
+
+// State is the dump of a Server.
+type State struct {
+	Connections  int            `json:"connections"`
+	Callers      int            `json:"callers"`
+	Transactions int            `json:"transactions"`
+	ByState      map[string]int `json:"by_state"`
+	ByService    map[string]int `json:"by_service"`
+	Draining     bool           `json:"draining"`
+}
+
+// State returns counts of callers; it is a State.
+func (s *Server) State() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := State{Connections: len(s.conns), Callers: len(s.callers), Draining: s.closing}
+	out.ByState, out.ByService = map[string]int{}, map[string]int{}
+	for _, c := range s.callers {
+		state, open := c.describe()
+		out.ByState[state]++
+		out.ByService[c.service]++
+		if open {
+			out.Transactions++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/transaction.go
@@ -0,0 +1,378 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/pgwire"
+	"github.com/citronrun/citronrun/internal/position"
+	"github.com/citronrun/citronrun/internal/session"
+	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// transaction is a stream to the owner. Its fields other than stream belong to caller.mu.
+type transaction struct {
+	seq      uint64
+	stream   io.ReadWriteCloser
+	cancel   context.CancelFunc
+	parsed   map[string]bool   // statements that the target connection has
+	open     []string          // those of parsed without a ParseComplete so far
+	unnamed  *session.Prepared // what the unnamed statement of the target connection is
+	unsynced bool              // requests were sent after the last Sync
+	partial  bool              // a part of the running request's result was relayed
+}
+
+// write sends frames to the owner. On failure the stream is closed, which the responder reports.
+func (t *transaction) write(frames []byte) {
+	if _, err := t.stream.Write(frames); err != nil {
+		t.close()
+	}
+}
+
+func (t *transaction) close() {
+	t.cancel()
+	_ = t.stream.Close()
+}
+
+// send passes the batch to the owner and opens a transaction if none is open. Complete is set when
+// no further request of the same implicit transaction can follow; ready is the number of
+// ReadyForQuery that the batch causes.
+func (c *caller) send(complete bool, ready int, simple bool) error {
+	b := &c.batch
+	defer b.reset()
+	if b.executes == 0 && len(b.frames) > 0 {
+		if err := c.admitPrepare(); err != nil {
+			return c.refuse(err, simple)
+		}
+	}
+	c.mu.Lock()
+	tx := c.tx
+	c.mu.Unlock()
+	if tx != nil || len(b.frames) == 0 {
+		c.push(tx, ready)
+		if tx != nil && len(b.frames) > 0 {
+			tx.write(b.frames)
+		}
+		return c.drainLocal()
+	}
+	tx, err := c.begin(complete)
+	if err != nil {
+		return c.refuse(err, simple)
+	}
+	c.mu.Lock()
+	c.tx = tx
+	c.mu.Unlock()
+	c.push(tx, ready)
+	if err := c.drainLocal(); err != nil {
+		tx.close()
+		return err
+	}
+	go c.respond(tx)
+	return nil
+}
+
+// admitPrepare checks the key before messages that reach a target without running a statement.
+func (c *caller) admitPrepare() error {
+	if err := c.checkKey(); err != nil {
+		return err
+	}
+	return c.checkConfirmed()
+}
+
+func (c *caller) drainLocal() error {
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	if err := c.answerLocal(); err != nil {
+		return err
+	}
+	return c.flush()
+}
+
+// push records the batch's requests before their responses can arrive.
+func (c *caller) push(tx *transaction, ready int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := &c.batch
+	for _, e := range b.entries {
+		c.tracker.Push(e.request, e.action, e.text)
+	}
+	if tx == nil || len(b.frames) == 0 {
+		return
+	}
+	c.fire(session.EventRequest)
+	if c.pending == 0 && !tx.unsynced {
+		c.started = time.Now()
+	}
+	c.pending += ready
+	tx.unsynced = ready == 0
+	for _, name := range b.parsed {
+		tx.parsed[name] = true
+	}
+	tx.open = append(tx.open, b.parsed...)
+	if b.unnamed != nil || ready > 0 && b.entries[len(b.entries)-1].request == pgwire.Query {
+		tx.unnamed = b.unnamed
+	}
+}
+
+// begin opens a transaction with the batch's frames. It retries refusals that promise that nothing
+// ran, within the retry budget.
+func (c *caller) begin(complete bool) (*transaction, error) {
+	b := &c.batch
+	rule := c.srv.cfg.Directory.Catalog().Rule(c.team, c.service)
+	c.mu.Lock()
+	req := c.st.Request(rule, b.readOnly(complete), b.block)
+	c.mu.Unlock()
+	req.Team, req.KeyID, req.Session, req.Place = c.team, c.keyID, c.sessionID, c.srv.cfg.Place
+	timeout := c.st.Timeout(c.srv.cfg.StatementTimeout)
+	deadline := time.Now().Add(timeout)
+	lastRetry := time.Now().Add(min(timeout, c.srv.cfg.RetryTimeout))
+	c.srv.budget.attempt()
+	for n := 0; ; n++ {
+		req.Timeout = time.Until(deadline)
+		tx, err := c.tryBegin(req, b.frames)
+		if err == nil {
+			if req.RequestKey != "" {
+				c.st.UseRequestKey()
+			}
+			return tx, nil
+		}
+		wait := backoff(n)
+		if !retryable(verdict.As(err)) || time.Now().Add(wait).After(lastRetry) || !c.srv.budget.take() {
+			return nil, err
+		}
+		c.srv.metrics.retries.Inc()
+		if !pause(c.ctx, wait) {
+			return nil, err
+		}
+	}
+}
+
+func (c *caller) tryBegin(req wire.TxRequest, frames []byte) (*transaction, error) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	timer := time.AfterFunc(req.Timeout+beginGrace, cancel)
+	stream, err := c.srv.cfg.Transactor.Begin(ctx, req, frames)
+	if err != nil {
+		timer.Stop()
+		cancel()
+		return nil, err
+	}
+	timer.Stop() // if it has fired, the stream is broken and the responder says so
+	return &transaction{seq: req.Seq, stream: stream, cancel: cancel, parsed: map[string]bool{}}, nil
+}
+
+// abort gives up the open transaction, which rolls it back.
+func (c *caller) abort(event string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tx := c.tx
+	c.fire(event)
+	if tx == nil {
+		return
+	}
+	c.tx = nil
+	c.pending = 0
+	c.tracker.Reset()
+	tx.close()
+}
+
+// refuse reports an error of the entry host for the current request. In a transaction it fails the
+// transaction: the stream is closed, which rolls it back at the owner, and the caller gets 25P02
+// until it ends the block.
+func (c *caller) refuse(err error, simple bool) error {
+	c.batch.reset()
+	e := verdict.As(err)
+	if e.Code == verdict.CodeKeyWithdrawn {
+		c.abort(session.EventRefused)
+		return e
+	}
+	if lost := c.finishSent(); lost {
+		return nil // the responder has reported the error; the loop takes note in awaitReady
+	}
+	c.srv.metrics.refusal(e)
+	c.abort(session.EventRefused)
+	out := pgwire.AppendError(nil, e)
+	if simple {
+		return c.answer(pgwire.AppendReady(out, c.status()))
+	}
+	c.skip = true
+	return c.answer(out)
+}
+
+// finishSent waits for the responses of requests that were sent without a Sync, so that the error of
+// a later one follows them. It reports whether the stream broke meanwhile.
+func (c *caller) finishSent() (lost bool) {
+	c.mu.Lock()
+	tx := c.tx
+	outstanding := tx != nil && c.tracker.Len() > 0
+	c.mu.Unlock()
+	if !outstanding {
+		return false
+	}
+	tx.write(pgwire.Append(nil, pgwire.Flush, nil))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.tx == tx && c.tracker.Len() > 0 && !c.dead {
+		c.cond.Wait()
+	}
+	return c.skipLost || c.dead
+}
+
+var relayReaders = sync.Pool{New: func() any {
+	return pgwire.NewReaderSize(nil, pgwire.MaxFrameBytes, relayBufferBytes)
+}}
+
+// respond relays responses until the transaction ends or the stream breaks.
+func (c *caller) respond(tx *transaction) {
+	rd := relayReaders.Get().(*pgwire.Reader)
+	rd.Reset(tx.stream)
+	err := c.relay(tx, rd)
+	rd.Reset(nil)
+	relayReaders.Put(rd)
+	tx.close()
+	if err != nil {
+		c.lost(tx, err)
+	}
+}
+
+func (c *caller) relay(tx *transaction, rd *pgwire.Reader) error {
+	for {
+		f, err := rd.Next()
+		if err != nil {
+			return err
+		}
+		ended, err := c.response(tx, f, rd.Buffered() == 0)
+		if ended || err != nil {
+			return err
+		}
+	}
+}
+
+// response relays one frame. Ended is set after the ReadyForQuery that ends the transaction.
+func (c *caller) response(tx *transaction, f pgwire.Frame, last bool) (ended bool, err error) {
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	pass, ok := c.track(tx, f)
+	if !ok {
+		return true, nil
+	}
+	if pass {
+		if err := c.put(f); err != nil {
+			return false, errCaller{err}
+		}
+	}
+	if f.Type() != pgwire.ReadyForQuery {
+		if err := c.answerLocal(); err != nil {
+			return false, errCaller{err}
+		}
+		if last {
+			err = c.flush()
+		}
+	} else if err = c.flush(); err == nil {
+		ended = c.ready(tx, f)
+	}
+	if err != nil {
+		return false, errCaller{err}
+	}
+	return ended, nil
+}
+
+// errCaller is a failure of the connection to the caller.
+type errCaller struct{ error }
+
+// track pairs a response with its request and says whether the caller gets it. ok is false when the
+// transaction was given up meanwhile.
+func (c *caller) track(tx *transaction, f pgwire.Frame) (pass, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tx != tx {
+		return false, false
+	}
+	switch f.Type() {
+	case pgwire.ParameterStatus:
+		c.noteStatus(f)
+		return true, true
+	case pgwire.NoticeResponse, pgwire.NotificationResponse:
+		return true, true
+	}
+	action, request, name, done := c.tracker.Done(f.Type())
+	switch {
+	case f.Type() == pgwire.ErrorResponse:
+		tx.failed()
+	case done && request == pgwire.Parse:
+		tx.confirm(name)
+	case f.Type() == pgwire.CopyInResponse && request == pgwire.Execute && c.tracker.DropSync():
+		c.pending--
+		tx.unsynced = true
+	}
+	tx.partial = !done && (tx.partial || isResult(f.Type()))
+	if c.tracker.Len() == 0 {
+		c.cond.Broadcast()
+	}
+	return action == pgwire.Relay, true
+}
+
+// isResult reports whether a response belongs to a result that can be cut in the middle.
+func isResult(response byte) bool {
+	switch response {
+	case pgwire.RowDescription, pgwire.DataRow, pgwire.CommandComplete, pgwire.EmptyQueryResponse,
+		pgwire.CopyInResponse, pgwire.CopyOutResponse, pgwire.CopyBothResponse, pgwire.CopyData:
+		return true
+	}
+	return false
+}
+
+// failed forgets the statements whose Parse didn't complete.
+func (t *transaction) failed() {
+	for _, name := range t.open {
+		delete(t.parsed, name)
+	}
+	t.open = nil
+	t.unnamed = nil
+}
+
+func (t *transaction) confirm(name string) {
+	for i, n := range t.open {
+		if n == name {
+			t.open = append(t.open[:i], t.open[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *caller) noteStatus(f pgwire.Frame) {
+	name, value, ok := pgwire.ParseStatus(f)
+	if !ok || name != pgwire.StatusToken {
+		return
+	}
+	if p, err := position.ParseToken(c.service, value); err == nil {
+		c.st.RaiseFloor(p)
+	}
+}
+
+// ready takes over the transaction state after a ReadyForQuery was relayed.
+func (c *caller) ready(tx *transaction, f pgwire.Frame) (ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tx != tx {
+		return true
+	}
+	c.pending = max(c.pending-1, 0)
+	tx.partial = false
+	c.srv.metrics.latency.UpdateDuration(c.started)
+	switch f.Body()[0] {
+	case pgwire.TxBlock:
+		c.fire(session.EventReadyBlock)
+	case pgwire.TxFailed:
+		c.fire(session.EventReadyFailed)
+	default:
+		c.fire(session.EventReadyIdle)
+		c.tx = nil
+		ended = true
+		c.wakeIfIdle()
+	}
+	c.cond.Broadcast()
+	return ended
+}
--- a/internal/pgwire/frame.go
+++ b/internal/pgwire/frame.go
@@ -43,7 +43,19 @@
 
 // NewReader returns a Reader that refuses frames above limit bytes.
 func NewReader(r io.Reader, limit int) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, readBufferBytes), limit: limit}
+	return NewReaderSize(r, limit, readBufferBytes)
+}
+
+// NewReaderSize is NewReader with a buffer of size bytes, for connections that are mostly idle.
+func NewReaderSize(r io.Reader, limit, size int) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, size), limit: limit}
+}
+
+// Reset discards buffered data and reads from r from now on. It keeps the buffer, for use in pools.
+func (r *Reader) Reset(src io.Reader) {
+	r.r.Reset(src)
+	r.skip = 0
+	r.large = nil
 }
 
 // Next returns the next frame. It is valid until the following call. The error is io.EOF only at a
--- a/internal/pgwire/tracker.go
+++ b/internal/pgwire/tracker.go
@@ -72,6 +72,20 @@
 	return p.action, p.request, p.name, true
 }
 
+// DropSync removes a Sync directly behind the request at the head. A target that enters copy-in mode
+// ignores a Sync which was sent together with the Execute; the caller sends another one.
+func (t *Tracker) DropSync() bool {
+	next := t.head + 1
+	if next >= len(t.queue) || t.queue[next].request != Sync {
+		return false
+	}
+	t.queue = append(t.queue[:next], t.queue[next+1:]...)
+	return true
+}
+
+// Reset forgets all requests.
+func (t *Tracker) Reset() { t.queue, t.head = nil, 0 }
+
 // fail drops requests up to the next Sync or simple Query, whose ReadyForQuery is still to come.
 func (t *Tracker) fail() {
 	for t.Len() > 0 {
--- /dev/null
+++ b/internal/session/lexer.go
@@ -0,0 +1,186 @@
+package session
+
+import "strings"
+
+type tokenKind uint8
+
+const (
+	tokenEnd    tokenKind = iota
+	tokenWord             // keyword, identifier or number
+	tokenQuoted           // quoted identifier, text without its quotes
+	tokenString           // string constant, text without its quotes
+	tokenSymbol           // one other character
+)
+
+type token struct {
+	kind tokenKind
+	text string // words as written
+}
+
+// is reports whether t is the keyword, which is given in upper case.
+func (t token) is(keyword string) bool {
+	return t.kind == tokenWord && len(t.text) == len(keyword) && strings.EqualFold(t.text, keyword)
+}
+
+// names reports whether t is the identifier, written plainly or in quotes. It is given in lower case.
+func (t token) names(identifier string) bool {
+	if t.kind == tokenQuoted {
+		return t.text == identifier
+	}
+	return t.kind == tokenWord && strings.EqualFold(t.text, identifier)
+}
+
+// lexer splits SQL into tokens. It skips comments and assumes standard_conforming_strings. Text
+// after an unclosed quote or comment belongs to it: a target refuses such a statement.
+type lexer struct {
+	sql string
+	pos int
+}
+
+func (l *lexer) next() token {
+	l.skipBlanks()
+	if l.pos >= len(l.sql) {
+		return token{}
+	}
+	c := l.sql[l.pos]
+	switch {
+	case c == '\'':
+		return token{tokenString, l.quoted('\'', false)}
+	case c == '"':
+		return token{tokenQuoted, l.quoted('"', false)}
+	case c == '$':
+		return l.dollar()
+	case isWordByte(c):
+		return l.word()
+	}
+	l.pos++
+	return token{tokenSymbol, l.sql[l.pos-1 : l.pos]}
+}
+
+func (l *lexer) skipBlanks() {
+	for l.pos < len(l.sql) {
+		rest := l.sql[l.pos:]
+		switch {
+		case strings.IndexByte(" \t\n\r\f\v", rest[0]) >= 0:
+			l.pos++
+		case strings.HasPrefix(rest, "--"):
+			l.pos += lineLength(rest)
+		case strings.HasPrefix(rest, "/*"):
+			l.skipComment()
+		default:
+			return
+		}
+	}
+}
+
+func lineLength(s string) int {
+	if n := strings.IndexAny(s, "\n\r"); n >= 0 {
+		return n
+	}
+	return len(s)
+}
+
+// skipComment skips a block comment; they nest.
+func (l *lexer) skipComment() {
+	depth := 0
+	for l.pos < len(l.sql) {
+		rest := l.sql[l.pos:]
+		switch {
+		case strings.HasPrefix(rest, "/*"):
+			depth++
+			l.pos += 2
+		case strings.HasPrefix(rest, "*/"):
+			depth--
+			l.pos += 2
+		default:
+			l.pos++
+		}
+		if depth == 0 {
+			return
+		}
+	}
+}
+
+// quoted reads text in quotes, which are doubled inside. With escapes set, a backslash hides the
+// character after it.
+func (l *lexer) quoted(quote byte, escapes bool) string {
+	l.pos++
+	start := l.pos
+	doubled := false
+	for l.pos < len(l.sql) {
+		c := l.sql[l.pos]
+		l.pos++
+		switch {
+		case c == '\\' && escapes && l.pos < len(l.sql):
+			l.pos++
+		case c != quote:
+		case l.pos < len(l.sql) && l.sql[l.pos] == quote:
+			doubled = true
+			l.pos++
+		default:
+			return undouble(l.sql[start:l.pos-1], quote, doubled)
+		}
+	}
+	return undouble(l.sql[start:], quote, doubled)
+}
+
+func undouble(s string, quote byte, doubled bool) string {
+	if !doubled {
+		return s
+	}
+	q := string(quote)
+	return strings.ReplaceAll(s, q+q, q)
+}
+
+// dollar reads a dollar-quoted string, or the dollar sign of a parameter.
+func (l *lexer) dollar() token {
+	end := l.pos + 1
+	for end < len(l.sql) && isWordByte(l.sql[end]) {
+		end++
+	}
+	isTag := end < len(l.sql) && l.sql[end] == '$' && (end == l.pos+1 || !isDigit(l.sql[l.pos+1]))
+	if !isTag {
+		l.pos++
+		return token{tokenSymbol, "$"}
+	}
+	tag := l.sql[l.pos : end+1]
+	body := l.sql[end+1:]
+	n := strings.Index(body, tag)
+	if n < 0 {
+		l.pos = len(l.sql)
+		return token{tokenString, body}
+	}
+	l.pos = end + 1 + n + len(tag)
+	return token{tokenString, body[:n]}
+}
+
+// word reads a word. The prefixes of string constants (E, B, X, N, U&) belong to the constant.
+func (l *lexer) word() token {
+	start := l.pos
+	for l.pos < len(l.sql) && (isWordByte(l.sql[l.pos]) || l.sql[l.pos] == '$') {
+		l.pos++
+	}
+	text := l.sql[start:l.pos]
+	rest := l.sql[l.pos:]
+	if strings.EqualFold(text, "U") && (strings.HasPrefix(rest, "&'") || strings.HasPrefix(rest, `&"`)) {
+		l.pos++
+		return l.prefixed(false)
+	}
+	if len(text) == 1 && strings.HasPrefix(rest, "'") && strings.ContainsAny(text, "eEbBxXnN") {
+		return l.prefixed(text == "e" || text == "E")
+	}
+	return token{tokenWord, text}
+}
+
+func (l *lexer) prefixed(escapes bool) token {
+	if l.sql[l.pos] == '"' {
+		return token{tokenQuoted, l.quoted('"', false)}
+	}
+	return token{tokenString, l.quoted('\'', escapes)}
+}
+
+func isWordByte(c byte) bool {
+	return c == '_' || c >= 0x80 || isDigit(c) || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- /dev/null
+++ b/internal/statechart/statechart.go
@@ -0,0 +1,216 @@
+// Package statechart loads state charts and interprets them.
+//
+// A chart is a file of JSON with comments, embedded in the binary. It lists its events and states.
+// Each state that isn't final names every event of the chart: the next state with optional actions,
+// "ignore" or "error". Final states refuse all events.
+package statechart
+
+import (
+	"bytes"
+	"embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/tailscale/hujson"
+)
+
+//go:embed charts/*.jsonc
+var files embed.FS
+
+// ErrRefused means that a state refuses an event.
+var ErrRefused = errors.New("event refused by state")
+
+// Chart is a loaded chart. It is immutable and safe for concurrent use.
+type Chart struct {
+	name    string
+	initial string
+	states  map[string]state
+}
+
+type state struct {
+	final bool
+	on    map[string]transition
+}
+
+type transition struct {
+	To      string   `json:"to"`
+	Actions []string `json:"actions"`
+	refused bool
+	ignored bool
+}
+
+type source struct {
+	Name    string                                `json:"name"`
+	Initial string                                `json:"initial"`
+	Events  []string                              `json:"events"`
+	Final   []string                              `json:"final"`
+	States  map[string]map[string]json.RawMessage `json:"states"`
+}
+
+// Load returns the embedded chart of the given name, without folder and extension.
+func Load(name string) (*Chart, error) {
+	data, err := files.ReadFile("charts/" + name + ".jsonc")
+	if err != nil {
+		return nil, fmt.Errorf("state chart %q: %w", name, err)
+	}
+	c, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("state chart %q: %w", name, err)
+	}
+	if c.name != name {
+		return nil, fmt.Errorf("state chart %q calls itself %q", name, c.name)
+	}
+	return c, nil
+}
+
+// Parse reads and checks a chart in JSON with comments.
+func Parse(data []byte) (*Chart, error) {
+	std, err := hujson.Standardize(slices.Clone(data))
+	if err != nil {
+		return nil, err
+	}
+	var src source
+	if err := decodeStrict(std, &src); err != nil {
+		return nil, err
+	}
+	c := &Chart{name: src.Name, initial: src.Initial, states: map[string]state{}}
+	for name, on := range src.States {
+		st, err := parseState(on)
+		if err != nil {
+			return nil, fmt.Errorf("state %q: %w", name, err)
+		}
+		st.final = slices.Contains(src.Final, name)
+		c.states[name] = st
+	}
+	return c, c.check(src)
+}
+
+func decodeStrict(data []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	return dec.Decode(v)
+}
+
+func parseState(on map[string]json.RawMessage) (state, error) {
+	st := state{on: map[string]transition{}}
+	for event, raw := range on {
+		t, err := parseTransition(raw)
+		if err != nil {
+			return state{}, fmt.Errorf("event %q: %w", event, err)
+		}
+		st.on[event] = t
+	}
+	return st, nil
+}
+
+func parseTransition(raw json.RawMessage) (transition, error) {
+	var word string
+	if json.Unmarshal(raw, &word) != nil {
+		var t transition
+		err := decodeStrict(raw, &t)
+		return t, err
+	}
+	switch word {
+	case "ignore":
+		return transition{ignored: true}, nil
+	case "error":
+		return transition{refused: true}, nil
+	default:
+		return transition{To: word}, nil
+	}
+}
+
+func (c *Chart) check(src source) error {
+	if len(src.Events) == 0 {
+		return errors.New("no events")
+	}
+	if _, ok := c.states[c.initial]; !ok {
+		return fmt.Errorf("initial state %q is not defined", c.initial)
+	}
+	for _, f := range src.Final {
+		if _, ok := c.states[f]; !ok {
+			return fmt.Errorf("final state %q is not defined", f)
+		}
+	}
+	for name, st := range c.states {
+		if err := c.checkState(name, st, src.Events); err != nil {
+			return err
+		}
+	}
+	return c.checkReachable()
+}
+
+func (c *Chart) checkState(name string, st state, events []string) error {
+	if st.final && len(st.on) > 0 {
+		return fmt.Errorf("final state %q has transitions", name)
+	}
+	for event, t := range st.on {
+		if !slices.Contains(events, event) {
+			return fmt.Errorf("state %q names unknown event %q", name, event)
+		}
+		if _, ok := c.states[t.To]; !ok && !t.ignored && !t.refused {
+			return fmt.Errorf("state %q, event %q: next state %q is not defined", name, event, t.To)
+		}
+	}
+	if st.final {
+		return nil
+	}
+	for _, event := range events {
+		if _, ok := st.on[event]; !ok {
+			return fmt.Errorf("state %q lacks event %q", name, event)
+		}
+	}
+	return nil
+}
+
+func (c *Chart) checkReachable() error {
+	seen := map[string]bool{c.initial: true}
+	todo := []string{c.initial}
+	for len(todo) > 0 {
+		name := todo[0]
+		todo = todo[1:]
+		for _, t := range c.states[name].on {
+			if t.To != "" && !seen[t.To] {
+				seen[t.To] = true
+				todo = append(todo, t.To)
+			}
+		}
+	}
+	for name := range c.states {
+		if !seen[name] {
+			return fmt.Errorf("state %q is not reachable", name)
+		}
+	}
+	return nil
+}
+
+// New returns a machine in the chart's initial state.
+func (c *Chart) New() *Machine { return &Machine{chart: c, state: c.initial} }
+
+// Machine is one instance of a chart. It isn't safe for concurrent use.
+type Machine struct {
+	chart *Chart
+	state string
+}
+
+// State returns the name of the current state.
+func (m *Machine) State() string { return m.state }
+
+// Final reports whether the current state is final.
+func (m *Machine) Final() bool { return m.chart.states[m.state].final }
+
+// Fire applies an event and returns the actions of the transition, which the caller must not
+// modify. An ignored event has no actions. The error wraps ErrRefused and leaves the state as it was.
+func (m *Machine) Fire(event string) ([]string, error) {
+	t, ok := m.chart.states[m.state].on[event]
+	if !ok || t.refused {
+		return nil, fmt.Errorf("chart %s, state %s, event %s: %w", m.chart.name, m.state, event, ErrRefused)
+	}
+	if t.ignored {
+		return nil, nil
+	}
+	m.state = t.To
+	return t.Actions, nil
+}
--- /dev/null
+++ b/internal/statechart/statechart_test.go
@@ -0,0 +1,56 @@
+package statechart
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an embedded chart that fails the load checks at run time.
+func TestEmbeddedChartsLoad(t *testing.T) {
+	is := is.New(t)
+	entries, err := files.ReadDir("charts")
+	is.NoErr(err)
+	is.Equal(len(entries), 5)
+	for _, e := range entries {
+		_, err := Load(strings.TrimSuffix(e.Name(), ".jsonc"))
+		is.NoErr(err)
+	}
+}
+
+// Guards against charts with gaps that would surface only under a rare event.
+func TestParseRefusesIncompleteCharts(t *testing.T) {
+	for name, src := range map[string]string{
+		"unknown field":   `{"name":"x","initial":"a","events":["e"],"final":[],"extra":1,"states":{"a":{"e":"a"}}}`,
+		"unknown in move": `{"name":"x","initial":"a","events":["e"],"states":{"a":{"e":{"to":"a","go":"b"}}}}`,
+		"missing event":   `{"name":"x","initial":"a","events":["e","f"],"states":{"a":{"e":"a"}}}`,
+		"unreachable":     `{"name":"x","initial":"a","events":["e"],"states":{"a":{"e":"a"},"b":{"e":"a"}}}`,
+		"unknown next":    `{"name":"x","initial":"a","events":["e"],"states":{"a":{"e":"c"}}}`,
+		"unknown event":   `{"name":"x","initial":"a","events":["e"],"states":{"a":{"e":"a","g":"a"}}}`,
+		"unknown initial": `{"name":"x","initial":"q","events":["e"],"states":{"a":{"e":"a"}}}`,
+		"final moves":     `{"name":"x","initial":"a","events":["e"],"final":["a"],"states":{"a":{"e":"a"}}}`,
+	} {
+		if _, err := Parse([]byte(src)); err == nil {
+			t.Errorf("%s: chart was accepted", name)
+		}
+	}
+}
+
+// Guards against a refused event that still changes the state.
+func TestMachineFollowsChart(t *testing.T) {
+	is := is.New(t)
+	c, err := Load("caller_session")
+	is.NoErr(err)
+	m := c.New()
+	_, err = m.Fire("ready_idle")
+	is.True(errors.Is(err, ErrRefused))
+	is.Equal(m.State(), "idle")
+	_, err = m.Fire("request")
+	is.NoErr(err)
+	actions, err := m.Fire("close")
+	is.NoErr(err)
+	is.Equal(actions, []string{"abort"})
+	is.True(m.Final())
+}
