--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -11,14 +11,10 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 
-	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/matryer/is"
 
-	"github.com/citronrun/citronrun/internal/auth"
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/pgwire"
 	"github.com/citronrun/citronrun/internal/verdict"
@@ -292,6 +288,15 @@
 // selectRows understands "rows N", "breakmid", "failmid" and anything else, which it returns.
 func (t *fakeTarget) selectRows(what string) error {
 	switch word, arg, _ := strings.Cut(what, " "); word {
+	case "canned":
+		n, _ := strconv.Atoi(arg)
+		chunk := bytes.Repeat(pgwire.Append(nil, pgwire.DataRow, []byte("\x00\x01\x00\x00\x00\x04abcd")), 100)
+		for range n / 100 {
+			if _, err := t.conn.Write(chunk); err != nil {
+				return err
+			}
+		}
+		t.tag("SELECT")
 	case "rows":
 		n, _ := strconv.Atoi(arg)
 		for i := range n {
@@ -327,11 +332,11 @@
 		t.tag("COPY 1000")
 		return nil
 	}
+	t.status = max(t.status, pgwire.TxBlock) // the copy rolls back if the stream ends
 	t.message(&pgproto3.CopyInResponse{ColumnFormatCodes: []uint16{0}})
 	if err := t.flush(); err != nil {
 		return err
 	}
-	t.status = max(t.status, pgwire.TxBlock) // the copy rolls back if the stream ends
 	for {
 		f, err := t.rd.Next()
 		if err != nil {
@@ -351,67 +356,3 @@
 		}
 	}
 }
-
-type fixture struct {
-	*is.I
-	t     testing.TB
-	owner *fakeOwner
-	srv   *Server
-	addr  string
-	key   string
-	key2  string
-	done  chan error
-}
-
-func start(t testing.TB, change func(*Config)) *fixture {
-	t.Helper()
-	fx := &fixture{I: is.New(t.(is.T)), t: t, key: auth.NewKey(), key2: auth.NewKey(), done: make(chan error, 1)}
-	team := catalog.Team{Salt: auth.NewSalt(), Iterations: auth.DefaultIterations, Keys: map[string]catalog.Key{}}
-	for id, secret := range map[string]string{"one": fx.key, "two": fx.key2} {
-		k, err := auth.Verifier(secret, team.Salt, team.Iterations)
-		fx.NoErr(err)
-		team.Keys[id] = k
-	}
-	fx.owner = &fakeOwner{snap: fakeSnapshot{team: team}, tokens: -1, waiting: make(chan struct{}, 100), release: make(chan struct{}, 100)}
-	cfg := Config{Transactor: fx.owner, Directory: fx.owner, Canceler: fx.owner, Place: "here"}
-	if change != nil {
-		change(&cfg)
-	}
-	var err error
-	fx.srv, err = New(cfg)
-	fx.NoErr(err)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	fx.NoErr(err)
-	fx.addr = l.Addr().String()
-	go func() { fx.done <- fx.srv.Serve(l) }()
-	t.Cleanup(func() {
-		ctx, stop := context.WithCancel(context.Background())
-		stop()
-		_ = fx.srv.Shutdown(ctx)
-	})
-	return fx
-}
-
-func (fx *fixture) url(key, extra string) string {
-	return "postgres://red:" + key + "@" + fx.addr + "/awnings?sslmode=disable" + extra
-}
-
-func (fx *fixture) connect() *pgx.Conn {
-	fx.t.Helper()
-	conn, err := pgx.Connect(context.Background(), fx.url(fx.key, ""))
-	fx.NoErr(err)
-	fx.t.Cleanup(func() { _ = conn.Close(context.Background()) })
-	return conn
-}
-
-// withdraw marks a key as withdrawn in a new snapshot.
-func (o *fakeOwner) withdraw(id string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	keys := map[string]catalog.Key{}
-	for k, v := range o.snap.team.Keys {
-		v.Withdrawn = v.Withdrawn || k == id
-		keys[k] = v
-	}
-	o.snap.team.Keys = keys
-}
--- /dev/null
+++ b/internal/entry/fixture_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/internal/auth"
+	"github.com/citronrun/citronrun/internal/catalog"
+)
+
+type fixture struct {
+	*is.I
+	t     testing.TB
+	owner *fakeOwner
+	srv   *Server
+	addr  string
+	key   string
+	key2  string
+	done  chan error
+}
+
+func start(t testing.TB, change func(*Config)) *fixture {
+	t.Helper()
+	fx := &fixture{I: is.New(t.(is.T)), t: t, key: auth.NewKey(), key2: auth.NewKey(), done: make(chan error, 1)}
+	team := catalog.Team{Salt: auth.NewSalt(), Iterations: auth.DefaultIterations, Keys: map[string]catalog.Key{}}
+	for id, secret := range map[string]string{"one": fx.key, "two": fx.key2} {
+		k, err := auth.Verifier(secret, team.Salt, team.Iterations)
+		fx.NoErr(err)
+		team.Keys[id] = k
+	}
+	fx.owner = &fakeOwner{snap: fakeSnapshot{team: team}, tokens: -1, waiting: make(chan struct{}, 100), release: make(chan struct{}, 100)}
+	cfg := Config{Transactor: fx.owner, Directory: fx.owner, Canceler: fx.owner, Place: "here"}
+	if change != nil {
+		change(&cfg)
+	}
+	var err error
+	fx.srv, err = New(cfg)
+	fx.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fx.NoErr(err)
+	fx.addr = l.Addr().String()
+	go func() { fx.done <- fx.srv.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, stop := context.WithCancel(context.Background())
+		stop()
+		_ = fx.srv.Shutdown(ctx)
+	})
+	return fx
+}
+
+func (fx *fixture) url(key, extra string) string {
+	return "postgres://red:" + key + "@" + fx.addr + "/awnings?sslmode=disable" + extra
+}
+
+func (fx *fixture) connect() *pgx.Conn {
+	fx.t.Helper()
+	conn, err := pgx.Connect(context.Background(), fx.url(fx.key, ""))
+	fx.NoErr(err)
+	fx.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+// withdraw marks a key as withdrawn in a new snapshot.
+func (o *fakeOwner) withdraw(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	keys := map[string]catalog.Key{}
+	for k, v := range o.snap.team.Keys {
+		v.Withdrawn = v.Withdrawn || k == id
+		keys[k] = v
+	}
+	o.snap.team.Keys = keys
+}
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,181 @@
+package session
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/position"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+var classified = map[string]Kind{
+	"":                                    Empty,
+	" ; -- nothing\n ;":                   Empty,
+	"select 1":                            Read,
+	"/* a /* nested */ b */ SELECT 1;":    Read,
+	"((select 1))":                        Read,
+	"select 'for update'":                 Read,
+	"select $$ into $$, $1":               Read,
+	"select $a$ ; insert $a$":             Read,
+	`select E'\'; delete from t; --'`:     Read,
+	`select U&'x', "into"`:                Read,
+	"select 1; select 2":                  Read,
+	"select * from t for update":          Write,
+	"select * from t for no key update":   Write,
+	"select * into t from u":              Write,
+	"select 1; insert into t values (1)":  Write,
+	"values (1)":                          Read,
+	"table t":                             Read,
+	"show all":                            Read,
+	"with a as (select 1) table a":        Read,
+	"with a as (delete from t) select 1":  Write,
+	"explain insert into t values (1)":    Read,
+	"explain (analyze) select 1":          Write,
+	"insert into t values ('select')":     Write,
+	"select 'a\\'; delete from t; --'":    Write,
+	"begin":                               Begin,
+	"start transaction read only":         Begin,
+	"end":                                 Commit,
+	"commit work":                         Commit,
+	"abort":                               Rollback,
+	"rollback to savepoint a":             Write,
+	"set citron.read = 'current'":         Set,
+	"set session citron.read to current":  Set,
+	"reset citron.read":                   Set,
+	"set time zone 'UTC'":                 Set,
+	"set names 'utf8'":                    Set,
+	"show citron.token":                   Show,
+	"set local work_mem = '1MB'":          Write,
+	"set transaction read only":           Write,
+	"set work_mem = '1MB'":                Refused,
+	"set role x":                          Refused,
+	"set session authorization x":         Refused,
+	"reset all":                           Refused,
+	"listen x":                            Refused,
+	"unlisten *":                          Refused,
+	"discard all":                         Refused,
+	"prepare a as select 1":               Refused,
+	"execute a":                           Refused,
+	"deallocate all":                      Refused,
+	"prepare transaction 'x'":             Refused,
+	"commit prepared 'x'":                 Refused,
+	"rollback and chain":                  Refused,
+	"create temp table t (a int)":         Refused,
+	"create or replace temporary view v":  Refused,
+	"create table pg_temp.t (a int)":      Refused,
+	"select 1 into temp t":                Refused,
+	"declare c cursor with hold for x":    Refused,
+	"declare c cursor for select 1":       Write,
+	"select pg_advisory_lock(1)":          Refused,
+	`select "pg_try_advisory_lock"(1)`:    Refused,
+	"select pg_advisory_xact_lock(1)":     Read,
+	"select set_config('a', 'b', false)":  Refused,
+	"select set_config('a', 'b', true)":   Read,
+	"insert into t values (1); listen x":  Refused,
+	"set citron.read = current; select 1": Refused,
+	"begin; set citron.read = current":    Refused,
+}
+
+// Guards against writes that are routed as reads, and session state that leaks to other callers.
+func TestClassify(t *testing.T) {
+	for sql, want := range classified {
+		if got := Classify(sql); got.Kind != want {
+			t.Errorf("%q: kind %d, want %d", sql, got.Kind, want)
+		}
+	}
+	is := is.New(t)
+	is.True(Classify("begin read only").ReadOnly)
+	is.True(!Classify("begin isolation level serializable, read only").ReadOnly)
+	is.True(!Classify("begin read write").ReadOnly)
+	is.True(Classify("begin; insert into t values (1)").Block)
+	is.Equal(Classify("SET citron.request_key TO 'A b'").Value, "A b")
+	is.Equal(Classify("set DateStyle to ISO, MDY").Value, "ISO,MDY")
+}
+
+// Guards against comments, quotes or case that change how a statement is classified.
+func TestClassifyIgnoresDecoration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sql := rapid.SampledFrom([]string{"select a from b", "insert into t values (1)", "listen x",
+			"with a as (insert into t values (1)) select 1", "select 1 for share"}).Draw(t, "sql")
+		blank := rapid.SampledFrom([]string{" ", "\n", "/* ' */", "--'\n", " /* /* */ */ "})
+		words := strings.Split(sql, " ")
+		var b strings.Builder
+		for _, w := range words {
+			b.WriteString(blank.Draw(t, "blank"))
+			if rapid.Bool().Draw(t, "upper") {
+				w = strings.ToUpper(w)
+			}
+			b.WriteString(w)
+		}
+		if got, want := Classify(b.String()).Kind, Classify(sql).Kind; got != want {
+			t.Fatalf("%q: kind %d, want %d", b.String(), got, want)
+		}
+	})
+}
+
+// Guards against panics and endless loops, and against a write hidden behind a read.
+func FuzzClassify(f *testing.F) {
+	for sql := range classified {
+		f.Add(sql)
+	}
+	f.Fuzz(func(t *testing.T, sql string) {
+		first := Classify(sql)
+		l := lexer{sql: sql}
+		for {
+			before := l.pos
+			if l.next().kind == tokenEnd {
+				break
+			}
+			if l.pos == before {
+				t.Fatalf("%q: lexer makes no progress at %d", sql, l.pos)
+			}
+		}
+		if first.Kind == Read && Classify("delete from t;"+sql).Kind == Read {
+			t.Fatalf("%q: delete is routed as a read", sql)
+		}
+	})
+}
+
+// Guards against settings that are accepted without having their effect.
+func TestDriverSettings(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(CheckDriverSetting("client_encoding", "utf-8", "UTF8"))
+	is.NoErr(CheckDriverSetting("datestyle", "ISO", "ISO, MDY"))
+	is.NoErr(CheckDriverSetting("extra_float_digits", "3", "1"))
+	is.NoErr(CheckDriverSetting("timezone", "Etc/UTC", "UTC"))
+	is.True(CheckDriverSetting("timezone", "Africa/Dakar", "UTC") != nil)
+	is.True(CheckDriverSetting("extra_float_digits", "0", "1") != nil)
+	is.True(CheckDriverSetting("datestyle", "German", "ISO, MDY") != nil)
+	is.True(CheckDriverSetting("search_path", "mine", "public") != nil)
+}
+
+// Guards against requests with a stale floor, a wrong read mode or a request key used twice.
+func TestRequestCarriesSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := New("awnings")
+	is.NoErr(err)
+	rule := catalog.Rule{Mode: wire.ReadMaxAge, MaxAge: time.Second}
+	req := s.Request(rule, true, false)
+	is.Equal(req.Mode, wire.ReadMaxAge)
+	is.True(!req.HasFloor)
+	is.NoErr(s.Apply(SettingRead, "current", false))
+	is.NoErr(s.Apply(SettingRequestKey, "k", false))
+	is.NoErr(s.Apply(SettingToken, "awnings:2/7", false))
+	is.NoErr(s.Apply(SettingToken, "awnings:1/9", false)) // lower: no effect
+	is.True(s.Apply(SettingToken, "other:3/1", false) != nil)
+	is.True(s.Apply(SettingRead, "max_age=-1s", false) != nil)
+	is.True(s.Apply(SettingTimeout, "0", false) != nil)
+	is.Equal(s.Request(rule, true, false).RequestKey, "") // a read leaves the key for the write
+	req = s.Request(rule, false, false)
+	is.Equal(req.RequestKey, "k")
+	is.Equal(req.Mode, wire.ReadCurrent)
+	is.Equal(req.Floor, position.Position{Term: 2, Offset: 7})
+	is.Equal(req.Seq, uint64(3))
+	s.UseRequestKey()
+	is.Equal(s.Request(rule, false, false).RequestKey, "")
+}
