--- a/internal/pgwire/tracker.go
+++ b/internal/pgwire/tracker.go
@@ -101,3 +101,17 @@
 		return false
 	}
 }
+
+// DropSyncs removes the Sync requests from the queue and returns their number. Targets ignore a Sync
+// that arrives while they read the rows of an extended COPY FROM STDIN.
+func (t *Tracker) DropSyncs() int {
+	kept := t.queue[:t.head]
+	for _, p := range t.queue[t.head:] {
+		if p.request != Sync {
+			kept = append(kept, p)
+		}
+	}
+	dropped := len(t.queue) - len(kept)
+	t.queue = kept
+	return dropped
+}
