--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -240,7 +240,10 @@
 		return nil
 	}
 	c.skipping = true
-	return c.fail(err)
+	if err := c.fail(err); err != nil {
+		return err
+	}
+	return c.flush() // PostgreSQL writes errors at once, too
 }
 
 // fail reports a statement's error and fails the transaction. It returns an error only when the
