Keep waiters while the target counts a connection just closed

Cause: a pool with the target's own limit replaced a discarded connection before the target had noticed the close. The target answered 53300 and a waiting caller was refused although capacity was there. Change: on 53300 the pool holds back connects for 5 ms and keeps its waiters. The stand-in refuses BEGIN, SET and SHOW, too, when it may not serve. Conclusion: the pool may use the whole connection budget of a target.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -8,10 +8,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/citronrun/citronrun/internal/verdict"
 )
@@ -21,6 +23,9 @@
 	defaultConnectTimeout = 2 * time.Second
 	// warmRetryInterval separates attempts to open warm connections while the target refuses them.
 	warmRetryInterval = 200 * time.Millisecond
+	// fullRetryInterval separates connects while the target reports too many connections. It may
+	// still count one that was closed a moment ago, so that waiters aren't refused for that.
+	fullRetryInterval = 5 * time.Millisecond
 )
 
 // Config describes the connections to one target.
@@ -43,7 +48,7 @@
 	InUse    int    // connections handed out by Get or TryGet
 	Waiting  int    // callers of Get that wait
 	Connects uint64 // connections opened since the start
-	Failures uint64 // failed connects since the start
+	Failures uint64 // failed connects since the start, without those refused for the target's limit
 }
 
 // Pool holds the connections to one target. It is safe for concurrent use.
@@ -60,6 +65,7 @@
 	waiters    []*waiter
 	closed     bool
 	retry      *time.Timer // set while warm connects are held back after a failure
+	full       bool        // set while all connects are held back, until retry
 	connects   uint64
 	failures   uint64
 }
@@ -244,7 +250,7 @@
 // replenish starts connects for waiters, and for warm connections unless a connect has just
 // failed. The caller holds mu.
 func (p *Pool) replenish() {
-	for !p.closed && len(p.idle)+p.inUse+p.connecting < p.cfg.MaxConns {
+	for !p.closed && !p.full && len(p.idle)+p.inUse+p.connecting < p.cfg.MaxConns {
 		wanted := len(p.waiters)
 		if p.retry == nil {
 			wanted = max(wanted, len(p.waiters)+p.cfg.Warm-len(p.idle))
@@ -283,6 +289,13 @@
 	if p.closed {
 		return
 	}
+	if p.retry == nil && tooMany(err) {
+		p.full = true
+		p.retry = time.AfterFunc(fullRetryInterval, p.retryWarm)
+	}
+	if p.full {
+		return
+	}
 	p.failures++
 	_ = p.logger.Log("component", "pool", "msg", "connect failed", "target", p.cfg.Target, "err", err)
 	if len(p.waiters) > 0 {
@@ -299,10 +312,16 @@
 func (p *Pool) retryWarm() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retry = nil
+	p.retry, p.full = nil, false
 	p.replenish()
 }
 
+// tooMany reports whether the target refused a connection because of its limit.
+func tooMany(err error) bool {
+	pgErr, ok := errors.AsType[*pgconn.PgError](err)
+	return ok && pgErr.Code == verdict.CodeTooBusy
+}
+
 func (p *Pool) errClosed() error {
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the pool of target %s is closed", p.cfg.Target)
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -66,14 +66,7 @@
 
 func send(t *testing.T, c *Conn, messages ...pgproto3.FrontendMessage) {
 	t.Helper()
-	var b []byte
-	for _, m := range messages {
-		var err error
-		if b, err = m.Encode(b); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := c.Send(b); err != nil {
+	if err := c.Send(encode(t, messages...)); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -19,6 +19,12 @@
 	return nil
 }
 
+func (s *Server) checkServing() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serving()
+}
+
 // commit ends tx. For a primary it returns the position that the caller has now seen.
 func (s *Server) commit(tx *transaction) (pos position.Position, err error) {
 	s.mu.Lock()
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -73,9 +73,14 @@
 	if c.control {
 		return nil, sqlError(codeNotSupported, "a control connection runs only control functions")
 	}
+	if err := c.srv.checkServing(); err != nil {
+		return nil, err
+	}
 	switch st.kind {
 	case stmtBegin:
-		return c.runBegin(st)
+		c.begin(st.readOnly)
+		c.block = true
+		return &result{tag: "BEGIN"}, nil
 	case stmtSet:
 		return &result{tag: "SET"}, c.set(st)
 	case stmtShow:
@@ -88,18 +93,6 @@
 	return c.srv.execute(ctx, c.tx, st, params)
 }
 
-func (c *session) runBegin(st *stmt) (*result, error) {
-	c.srv.mu.Lock()
-	err := c.srv.serving()
-	c.srv.mu.Unlock()
-	if err != nil {
-		return nil, err
-	}
-	c.begin(st.readOnly)
-	c.block = true
-	return &result{tag: "BEGIN"}, nil
-}
-
 func (c *session) runCommit() (*result, error) {
 	failed := c.failed
 	c.block, c.failed = false, false
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -138,7 +138,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addr = l.Addr().String()
+	if s.addr == "" { // read without the mutex afterwards
+		s.addr = l.Addr().String()
+	}
 	s.listener = l
 	s.life, s.kill = context.WithCancel(context.Background())
 	s.running.Add(1)
