--- /dev/null
+++ b/internal/ratelimit/borrower.go
@@ -0,0 +1,146 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+const (
+	demandReserve = 1.25 // lots are this much larger than the estimated demand
+	demandDecay   = 0.5  // weight of earlier intervals in the estimate
+	minEstimate   = 0.5  // tokens per interval below which a team counts as idle
+)
+
+// Borrower spends the lots of one host. It is not safe for concurrent use.
+type Borrower struct {
+	teams map[string]*purse
+}
+
+type purse struct {
+	lots     []heldLot
+	seen     uint64  // highest lot id received
+	reported uint64  // highest lot id reported to a leader
+	dirty    bool    // changed since the last report
+	used     float64 // tokens spent or missed since the last renewal
+	estimate float64 // tokens per interval
+}
+
+type heldLot struct {
+	tokens uint64
+	until  time.Time
+}
+
+// NewBorrower returns a borrower without lots.
+func NewBorrower() *Borrower { return &Borrower{teams: map[string]*purse{}} }
+
+func (b *Borrower) purse(team string) *purse {
+	p := b.teams[team]
+	if p == nil {
+		p = &purse{}
+		b.teams[team] = p
+	}
+	return p
+}
+
+// Add notes a lot that answers a request sent at the given time. It discards a lot that an earlier
+// report has already declared as unused.
+func (b *Borrower) Add(sent time.Time, lot wire.Lot) {
+	if lot.Tokens == 0 {
+		return
+	}
+	p := b.purse(lot.Team)
+	if lot.ID <= p.reported {
+		return
+	}
+	p.seen = max(p.seen, lot.ID)
+	p.dirty = true
+	p.lots = append(p.lots, heldLot{tokens: lot.Tokens, until: sent.Add(min(lot.TTL, LotTTL))})
+}
+
+// Take spends n tokens of unexpired lots. It reports whether there were enough; if not, it spends
+// none and counts n as unmet demand.
+func (b *Borrower) Take(now time.Time, team string, n uint64) bool {
+	p := b.purse(team)
+	p.used += float64(n)
+	if p.left(now) < n {
+		return false
+	}
+	p.dirty = true
+	for n > 0 {
+		spent := min(n, p.lots[0].tokens)
+		p.lots[0].tokens -= spent
+		n -= spent
+		if p.lots[0].tokens == 0 {
+			p.lots = p.lots[1:]
+		}
+	}
+	return true
+}
+
+// Retry takes back the demand that a failed Take has counted, before the same request tries again.
+func (b *Borrower) Retry(team string, n uint64) {
+	p := b.purse(team)
+	p.used = max(0, p.used-float64(n))
+}
+
+// left removes expired lots and returns the tokens of the others.
+func (p *purse) left(now time.Time) uint64 {
+	total := uint64(0)
+	kept := p.lots[:0]
+	for _, lot := range p.lots {
+		if now.Before(lot.until) {
+			kept = append(kept, lot)
+			total += lot.tokens
+		}
+	}
+	p.lots = kept
+	return total
+}
+
+// Want returns how many tokens to ask for with Borrow when a request of n tokens finds too few: the
+// request and the estimate of what follows before the next renewal.
+func (b *Borrower) Want(team string, n uint64) uint64 {
+	p := b.purse(team)
+	return n + uint64(math.Ceil(max(p.estimate, p.used-float64(n))/2))
+}
+
+// Demand ends an interval. It returns the tokens to ask for in the next renewal, per team, and
+// forgets idle teams.
+func (b *Borrower) Demand(now time.Time) map[string]uint64 {
+	demand := map[string]uint64{}
+	for team, p := range b.teams {
+		p.estimate = max(p.used, demandDecay*p.estimate+(1-demandDecay)*p.used)
+		p.used = 0
+		left := p.left(now)
+		if p.estimate < minEstimate {
+			p.estimate = 0
+			continue
+		}
+		if want := uint64(math.Ceil(demandReserve * p.estimate)); want > left {
+			demand[team] = want - left
+		}
+	}
+	return demand
+}
+
+// Held returns what the leader may take as settled, for every team whose lots have changed since
+// the last report. From then on lots up to the reported id are no longer accepted.
+func (b *Borrower) Held(now time.Time) map[string]wire.LotHeld {
+	held := map[string]wire.LotHeld{}
+	for team, p := range b.teams {
+		if p.dirty {
+			held[team] = b.HeldOf(now, team)
+		}
+	}
+	return held
+}
+
+// HeldOf is Held for one team.
+func (b *Borrower) HeldOf(now time.Time, team string) wire.LotHeld {
+	p := b.purse(team)
+	p.reported = p.seen
+	p.dirty = false
+	return wire.LotHeld{ID: p.seen, Left: p.left(now)}
+}
--- /dev/null
+++ b/internal/ratelimit/keeper.go
@@ -0,0 +1,242 @@
+// Package ratelimit bounds each team's rate over all hosts together.
+//
+// The control leader's Keeper has one token bucket per team and lends lots of tokens to hosts. A
+// host's Borrower spends them. In every window [a,b] at most rate*(b-a)+burst tokens are spent.
+//
+// Lots are spent later than lent, so a plain bucket of size burst would break this bound: a full
+// bucket could be lent while hosts still hold earlier lots. The Keeper therefore keeps level +
+// outstanding <= burst, where outstanding counts every lent token until its lot has expired or
+// its host has reported it as spent. The tokens spent in [a,b] are at most those outstanding at a
+// plus those lent after a. The latter are at most level(a)+rate*(b-a), so the bound holds exactly.
+package ratelimit
+
+import (
+	"math"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+const (
+	// LotTTL is how long a host may spend a lot, from the send of its request.
+	LotTTL = 2 * time.Second
+	// LotHold is how long the leader counts an unsettled lot: LotTTL and 10% for slow clocks.
+	LotHold = LotTTL + LotTTL/10
+	// Interval is the time between two renewals, for which lots are sized.
+	Interval = 500 * time.Millisecond
+
+	demandMemory = 2 * Interval
+	termShift    = 32 // a lot id is the leader's term and a counter of this many bits
+)
+
+// Keeper is the lender of one leader for one consensus term. It is not safe for concurrent use.
+type Keeper struct {
+	ready   time.Time // until then an earlier leader's lots may be spent
+	lastID  uint64
+	buckets map[string]*bucket
+}
+
+type bucket struct {
+	rate, burst float64
+	level       float64
+	at          time.Time // level is as of this time
+	outstanding float64
+	borrowers   map[string]*borrower
+}
+
+// borrower is the leader's view of one process that borrows.
+type borrower struct {
+	lots     []lentLot // in order of id, and hence of expiry
+	settled  uint64    // highest lot id that the host has reported
+	want     float64   // latest demand
+	wantAt   time.Time
+	given    float64 // in the window that started at givenFrom
+	givenFor time.Time
+}
+
+type lentLot struct {
+	id    uint64
+	left  float64
+	until time.Time
+}
+
+// NewKeeper returns the lender of a leader elected at the given time in the given consensus term.
+// It lends nothing until the lots of earlier leaders have expired, and starts with empty buckets.
+func NewKeeper(elected time.Time, term uint64) *Keeper {
+	return &Keeper{
+		ready:   elected.Add(LotHold),
+		lastID:  term << termShift,
+		buckets: map[string]*bucket{},
+	}
+}
+
+// SetRate sets a team's rate in tokens/s and burst in tokens. After a change, windows that span
+// it stay within the larger rate and the larger burst.
+func (k *Keeper) SetRate(now time.Time, team string, rate, burst float64) {
+	b := k.buckets[team]
+	if b == nil {
+		k.buckets[team] = &bucket{rate: rate, burst: burst, at: k.ready, borrowers: map[string]*borrower{}}
+		return
+	}
+	b.advance(now)
+	b.rate, b.burst = rate, burst
+	b.level = min(b.level, b.room())
+}
+
+// Settle notes what a process holds of the lots that it has received.
+func (k *Keeper) Settle(now time.Time, who, team string, held wire.LotHeld) {
+	b := k.buckets[team]
+	if b == nil {
+		return
+	}
+	b.advance(now) // the level before the tokens stop to count as outstanding
+	if br := b.borrowers[who]; br != nil {
+		b.outstanding -= br.settle(held)
+	}
+}
+
+// settle merges the reported lots into one and returns the tokens that are no longer outstanding.
+// Reports may arrive late and repeatedly; what is left never grows.
+func (br *borrower) settle(held wire.LotHeld) float64 {
+	if held.ID < br.settled {
+		return 0
+	}
+	merged := lentLot{id: held.ID}
+	n := 0
+	for n < len(br.lots) && br.lots[n].id <= held.ID {
+		merged.left += br.lots[n].left
+		merged.until = br.lots[n].until
+		n++
+	}
+	if n == 0 {
+		return 0
+	}
+	br.settled = held.ID
+	freed := max(0, merged.left-float64(held.Left))
+	merged.left -= freed
+	br.lots = append([]lentLot{merged}, br.lots[n:]...)
+	return freed
+}
+
+// Lend takes up to want tokens from the team's bucket for a process. renewal says that want is the
+// demand for one interval; else it adds to the demand already noted. The answer has no tokens when
+// the bucket is empty or the process has had its share.
+func (k *Keeper) Lend(now time.Time, who, team string, want uint64, renewal bool) wire.Lot {
+	lot := wire.Lot{Team: team, TTL: LotTTL}
+	if now.Before(k.ready) {
+		lot.Wait = k.ready.Sub(now)
+		return lot
+	}
+	b := k.buckets[team]
+	if b == nil || want == 0 {
+		return lot
+	}
+	b.advance(now)
+	br := b.borrower(now, who)
+	br.note(now, float64(want), renewal)
+	n := math.Floor(min(float64(want), b.level, b.share(now, br)))
+	if n < 1 {
+		return lot
+	}
+	k.lastID++
+	b.lend(br, lentLot{id: k.lastID, left: n, until: now.Add(LotHold)})
+	lot.Tokens = uint64(n)
+	lot.ID = k.lastID
+	return lot
+}
+
+func (b *bucket) lend(br *borrower, lot lentLot) {
+	b.level -= lot.left
+	b.outstanding += lot.left
+	br.given += lot.left
+	br.lots = append(br.lots, lot)
+}
+
+func (b *bucket) borrower(now time.Time, who string) *borrower {
+	br := b.borrowers[who]
+	if br == nil {
+		br = &borrower{givenFor: now}
+		b.borrowers[who] = br
+	}
+	return br
+}
+
+func (br *borrower) note(now time.Time, want float64, renewal bool) {
+	if now.Sub(br.givenFor) >= Interval {
+		br.given = 0
+		br.givenFor = now
+	}
+	if renewal || now.Sub(br.wantAt) > demandMemory {
+		br.want = want
+	} else {
+		br.want = max(br.want, br.given+want)
+	}
+	br.wantAt = now
+}
+
+// share returns how many more tokens a process may get in its current interval. When the demand
+// of all processes exceeds the supply of an interval, each gets a part in proportion to its demand.
+func (b *bucket) share(now time.Time, br *borrower) float64 {
+	total := 0.0
+	for _, other := range b.borrowers {
+		if now.Sub(other.wantAt) <= demandMemory {
+			total += other.want
+		}
+	}
+	supply := b.level + b.rate*Interval.Seconds()
+	if total <= supply {
+		return math.Inf(1)
+	}
+	return max(1, math.Ceil(supply*br.want/total)) - br.given
+}
+
+// room is the highest level that the bound permits at present.
+func (b *bucket) room() float64 { return max(0, b.burst-b.outstanding) }
+
+// advance refills the bucket up to now. Each expiry of a lot makes room only from its own time on.
+func (b *bucket) advance(now time.Time) {
+	for {
+		who, next := b.nextExpiry()
+		if who == nil || next.After(now) {
+			break
+		}
+		b.refill(next)
+		b.outstanding -= who.lots[0].left
+		who.lots = who.lots[1:]
+	}
+	b.refill(now)
+	b.forget(now)
+}
+
+func (b *bucket) refill(now time.Time) {
+	if !now.After(b.at) {
+		return
+	}
+	b.level = min(b.level+b.rate*now.Sub(b.at).Seconds(), b.room())
+	b.at = now
+}
+
+func (b *bucket) nextExpiry() (*borrower, time.Time) {
+	var first *borrower
+	for _, br := range b.borrowers {
+		if len(br.lots) > 0 && (first == nil || br.lots[0].until.Before(first.lots[0].until)) {
+			first = br
+		}
+	}
+	if first == nil {
+		return nil, time.Time{}
+	}
+	return first, first.lots[0].until
+}
+
+// forget drops processes that hold nothing and want nothing.
+func (b *bucket) forget(now time.Time) {
+	for who, br := range b.borrowers {
+		if len(br.lots) == 0 && now.Sub(br.wantAt) > demandMemory {
+			delete(b.borrowers, who)
+		}
+	}
+	if len(b.borrowers) == 0 {
+		b.outstanding = 0 // removes rounding errors
+	}
+}
--- /dev/null
+++ b/internal/ratelimit/ratelimit_test.go
@@ -0,0 +1,210 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+type spend struct {
+	at time.Time
+	n  float64
+}
+
+type message struct {
+	host *testHost
+	sent time.Time // local
+	lot  wire.Lot
+}
+
+type testHost struct {
+	name string
+	rate float64
+	b    *Borrower
+}
+
+type testFleet struct {
+	now         time.Time
+	keeper      *Keeper
+	term        uint64
+	rate, burst float64
+	hosts       []*testHost
+	answers     []message
+	reports     []message // delayed settlements; lot.ID and lot.Tokens hold the report
+	spent       []spend
+	maxRate     float64
+	maxBurst    float64
+}
+
+func (f *testFleet) local(h *testHost) time.Time {
+	return start.Add(time.Duration(float64(f.now.Sub(start)) * h.rate))
+}
+
+func (f *testFleet) elect(*rapid.T) {
+	f.term++
+	f.keeper = NewKeeper(f.now, f.term)
+	f.keeper.SetRate(f.now, "t", f.rate, f.burst)
+}
+
+func (f *testFleet) setRate(t *rapid.T) {
+	f.rate = rapid.Float64Range(0, 50).Draw(t, "rate")
+	f.burst = rapid.Float64Range(0, 60).Draw(t, "burst")
+	f.maxRate = max(f.maxRate, f.rate)
+	f.maxBurst = max(f.maxBurst, f.burst)
+	f.keeper.SetRate(f.now, "t", f.rate, f.burst)
+}
+
+func (f *testFleet) request(t *rapid.T) {
+	h := rapid.SampledFrom(f.hosts).Draw(t, "host")
+	renewal := rapid.Bool().Draw(t, "renewal")
+	held := h.b.HeldOf(f.local(h), "t")
+	report := message{host: h, lot: wire.Lot{ID: held.ID, Tokens: held.Left}}
+	f.reports = append(f.reports, report)
+	if rapid.Bool().Draw(t, "report lost") {
+		f.reports = f.reports[:len(f.reports)-1]
+	}
+	if rapid.Bool().Draw(t, "report in time") {
+		f.keeper.Settle(f.now, h.name, "t", held)
+	}
+	want := rapid.Uint64Range(1, 80).Draw(t, "want")
+	sent := f.local(h)
+	f.now = f.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "delay")) * time.Millisecond)
+	f.answers = append(f.answers, message{host: h, sent: sent, lot: f.keeper.Lend(f.now, h.name, "t", want, renewal)})
+}
+
+func (f *testFleet) answer(t *rapid.T) {
+	if len(f.answers) == 0 {
+		t.Skip()
+	}
+	i := rapid.IntRange(0, len(f.answers)-1).Draw(t, "i")
+	m := f.answers[i]
+	f.answers = append(f.answers[:i], f.answers[i+1:]...)
+	m.host.b.Add(m.sent, m.lot)
+}
+
+func (f *testFleet) report(t *rapid.T) {
+	if len(f.reports) == 0 {
+		t.Skip()
+	}
+	m := rapid.SampledFrom(f.reports).Draw(t, "report")
+	f.keeper.Settle(f.now, m.host.name, "t", wire.LotHeld{ID: m.lot.ID, Left: m.lot.Tokens})
+}
+
+func (f *testFleet) spend(t *rapid.T) {
+	h := rapid.SampledFrom(f.hosts).Draw(t, "host")
+	n := rapid.Uint64Range(1, 20).Draw(t, "n")
+	if rapid.Bool().Draw(t, "all") {
+		n = max(1, h.b.purse("t").left(f.local(h)))
+	}
+	if h.b.Take(f.local(h), "t", n) {
+		f.spent = append(f.spent, spend{at: f.now, n: float64(n)})
+	}
+}
+
+func (f *testFleet) check(t *rapid.T) {
+	sum := 0.0
+	for i := len(f.spent) - 1; i >= 0; i-- {
+		sum += f.spent[i].n
+		window := f.spent[len(f.spent)-1].at.Sub(f.spent[i].at).Seconds()
+		if bound := f.maxRate*window + f.maxBurst; sum > bound+1e-6 {
+			t.Fatalf("%v tokens spent in %v s, bound %v", sum, window, bound)
+		}
+	}
+}
+
+// Guards against more than rate*(b-a)+burst tokens spent in any window, over leader changes, rate
+// changes, slow clocks, lost, late and repeated messages.
+func TestWindowBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &testFleet{now: start, rate: 20, burst: 30, maxRate: 20, maxBurst: 30}
+		for i := range 3 {
+			rate := rapid.Float64Range(0.91, 1.05).Draw(t, "clock rate")
+			f.hosts = append(f.hosts, &testHost{name: fmt.Sprint(i), rate: rate, b: NewBorrower()})
+		}
+		f.elect(t)
+		pass := func(t *rapid.T) {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
+		}
+		actions := map[string]func(*rapid.T){
+			"request": f.request, "request2": f.request, "answer": f.answer, "answer2": f.answer,
+			"report": f.report, "spend": f.spend, "spend2": f.spend, "pass": pass, "": f.check,
+			"elect": f.elect,
+		}
+		if rapid.Bool().Draw(t, "rate changes") {
+			actions["rate"] = f.setRate
+		}
+		t.Repeat(actions)
+	})
+}
+
+// Guards against tokens lent before the lots of an earlier leader have expired.
+func TestQuarantine(t *testing.T) {
+	is := is.New(t)
+	k := NewKeeper(start, 1)
+	k.SetRate(start, "t", 100, 100)
+	lot := k.Lend(start.Add(LotTTL), "h", "t", 10, true)
+	is.Equal(lot.Tokens, uint64(0))
+	is.Equal(lot.Wait, LotHold-LotTTL)
+	is.Equal(k.Lend(start.Add(LotHold), "h", "t", 10, true).Tokens, uint64(0)) // starts empty
+	is.Equal(k.Lend(start.Add(LotHold+time.Second), "h", "t", 10, true).Tokens, uint64(10))
+}
+
+// run lets hosts spend at the given rates for 20 s in steps of 10 ms and returns what each got per
+// second in the second half. A host borrows when its lots don't suffice.
+func run(rate, burst float64, demand []float64) []float64 {
+	k := NewKeeper(start.Add(-LotHold), 1)
+	k.SetRate(start, "t", rate, burst)
+	hosts := make([]*Borrower, len(demand))
+	want := make([]float64, len(demand))
+	got := make([]float64, len(demand))
+	for i := range hosts {
+		hosts[i] = NewBorrower()
+	}
+	for step := range 2000 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		for i, b := range hosts {
+			who := fmt.Sprint(i)
+			if (step+i*7)%50 == 0 {
+				if held, ok := b.Held(now)["t"]; ok {
+					k.Settle(now, who, "t", held)
+				}
+				if n := b.Demand(now)["t"]; n > 0 {
+					b.Add(now, k.Lend(now, who, "t", n, true))
+				}
+			}
+			for want[i] += demand[i] / 100; want[i] >= 1; want[i]-- {
+				ok := b.Take(now, "t", 1)
+				if !ok {
+					k.Settle(now, who, "t", b.HeldOf(now, "t"))
+					b.Add(now, k.Lend(now, who, "t", b.Want("t", 1), false))
+					b.Retry("t", 1)
+					ok = b.Take(now, "t", 1)
+				}
+				if ok && step >= 1000 {
+					got[i] += 0.1
+				}
+			}
+		}
+	}
+	return got
+}
+
+// Guards against refusals within the rate, against capacity lost to unspent lots, and against a
+// host that takes the tokens of others.
+func TestShares(t *testing.T) {
+	is := is.New(t)
+	within := run(100, 200, []float64{40, 30, 20})
+	is.True(within[0] > 39.5 && within[1] > 29.5 && within[2] > 19.5) // all of it
+	over := run(100, 20, []float64{300, 100, 100})
+	t.Log(over)
+	is.True(over[0]+over[1]+over[2] > 90) // little is lost under overload
+	is.True(over[0] > 45 && over[0] < 75) // in proportion to demand
+	is.True(over[1] > 12 && over[2] > 12)
+}
--- /dev/null
+++ b/internal/transport/endpoint.go
@@ -0,0 +1,213 @@
+// Package transport connects daemons by QUIC with mutual TLS, one stream per request.
+//
+// An Endpoint owns one UDP socket for listening and dialing. Connections are cached per address and
+// dialed again after a loss. Each stream starts with a wire.Header.
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/quic-go/quic-go"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// Protocol is the ALPN name of version 1.
+const Protocol = "citron/1"
+
+const (
+	keepAlivePeriod  = 500 * time.Millisecond
+	idleTimeout      = 1500 * time.Millisecond
+	handshakeTimeout = 1 * time.Second
+	dialTimeout      = 2 * handshakeTimeout
+	headerTimeout    = 5 * time.Second
+	maxHeaderBytes   = 64
+	maxStreams       = 1 << 14 // concurrent streams of one connection and direction
+	streamWindow     = 256 << 10
+	maxStreamWindow  = wire.MaxSnapshotBytes
+	connWindow       = 1 << 20
+	maxConnWindow    = 32 << 20
+)
+
+// Handler serves one stream. The context ends when the handler returns, the peer resets the stream
+// or the connection breaks. The endpoint closes the stream after the handler has returned.
+type Handler func(ctx context.Context, peer string, s Stream)
+
+// Endpoint sends and receives streams on one UDP socket. Its methods are safe for concurrent use,
+// but Handle must not be called after Serve.
+type Endpoint struct {
+	socket    *net.UDPConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	dialTLS   *tls.Config
+	quic      *quic.Config
+	logger    log.Logger
+	handlers  map[wire.Kind]Handler
+
+	mu     sync.Mutex
+	dials  map[string]*dial
+	closed bool
+
+	streams sync.WaitGroup
+}
+
+// Listen binds addr (IP:PORT, port 0 for any) and prepares the TLS configurations of both
+// directions. conf needs a certificate and RootCAs; ClientCAs defaults to RootCAs.
+func Listen(addr string, conf *tls.Config, logger log.Logger) (*Endpoint, error) {
+	serverTLS, dialTLS, err := tlsConfigs(conf)
+	if err != nil {
+		return nil, err
+	}
+	udp, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("resolve %q: %w", addr, err)
+	}
+	socket, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	e := &Endpoint{
+		socket:    socket,
+		transport: &quic.Transport{Conn: socket},
+		dialTLS:   dialTLS,
+		quic:      quicConfig(),
+		logger:    log.With(logger, "component", "transport"),
+		handlers:  map[wire.Kind]Handler{},
+		dials:     map[string]*dial{},
+	}
+	e.listener, err = e.transport.Listen(serverTLS, e.quic)
+	if err != nil {
+		err = errors.Join(err, e.transport.Close(), socket.Close())
+		return nil, fmt.Errorf("listen for QUIC: %w", err)
+	}
+	return e, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIdleTimeout:                 idleTimeout,
+		KeepAlivePeriod:                keepAlivePeriod,
+		MaxIncomingStreams:             maxStreams,
+		MaxIncomingUniStreams:          -1,
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         maxStreamWindow,
+		InitialConnectionReceiveWindow: connWindow,
+		MaxConnectionReceiveWindow:     maxConnWindow,
+	}
+}
+
+// Addr returns the bound address, IP:PORT.
+func (e *Endpoint) Addr() string { return e.socket.LocalAddr().String() }
+
+// Handle registers the handler of a kind of streams. It must be called before Serve.
+func (e *Endpoint) Handle(kind wire.Kind, h func(ctx context.Context, peer string, s Stream)) {
+	e.handlers[kind] = h
+}
+
+// Serve accepts connections until ctx ends or Close is called. It returns nil in both cases.
+func (e *Endpoint) Serve(ctx context.Context) error {
+	for {
+		conn, err := e.listener.Accept(ctx)
+		if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) || errors.Is(err, quic.ErrTransportClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept connection: %w", err)
+		}
+		go e.serveConn(conn)
+	}
+}
+
+// Close closes all connections and the socket, and waits for the handlers to return.
+func (e *Endpoint) Close() error {
+	e.mu.Lock()
+	e.closed = true
+	dials := e.dials
+	e.dials = map[string]*dial{}
+	e.mu.Unlock()
+	for _, d := range dials {
+		d.close()
+	}
+	err := errors.Join(e.listener.Close(), e.transport.Close(), e.socket.Close())
+	e.streams.Wait()
+	return err
+}
+
+func (e *Endpoint) serveConn(conn *quic.Conn) {
+	peer, err := peerName(conn.ConnectionState().TLS)
+	if err != nil {
+		_ = level.Warn(e.logger).Log("msg", "connection refused", "addr", conn.RemoteAddr(), "err", err)
+		_ = conn.CloseWithError(codeRefused, "peer has no name")
+		return
+	}
+	for {
+		qs, err := conn.AcceptStream(conn.Context())
+		if err != nil {
+			return
+		}
+		if !e.startStream() {
+			_ = conn.CloseWithError(codeClosed, "endpoint is closed")
+			return
+		}
+		go e.serveStream(conn, peer, qs)
+	}
+}
+
+func (e *Endpoint) startStream() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return false
+	}
+	e.streams.Add(1)
+	return true
+}
+
+func (e *Endpoint) serveStream(conn *quic.Conn, peer string, qs *quic.Stream) {
+	defer e.streams.Done()
+	s := &stream{qs: qs}
+	h, err := e.acceptHeader(qs)
+	if err != nil {
+		_ = level.Debug(e.logger).Log("msg", "stream refused", "peer", peer, "err", err)
+		s.cancel(codeRefused)
+		return
+	}
+	ctx, cancel := context.WithCancel(conn.Context())
+	defer cancel()
+	stop := context.AfterFunc(qs.Context(), func() {
+		if _, ok := errors.AsType[*quic.StreamError](context.Cause(qs.Context())); ok {
+			cancel()
+		}
+	})
+	defer stop()
+	h(ctx, peer, s)
+	_ = s.Close()
+}
+
+// acceptHeader reads the header and returns the handler of its kind.
+func (e *Endpoint) acceptHeader(qs *quic.Stream) (Handler, error) {
+	if err := qs.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
+		return nil, err
+	}
+	var header wire.Header
+	if err := wire.Read(qs, &header, maxHeaderBytes); err != nil {
+		return nil, fmt.Errorf("read stream header: %w", err)
+	}
+	if header.Version != wire.Version {
+		return nil, fmt.Errorf("protocol version %d is not supported", header.Version)
+	}
+	h, ok := e.handlers[header.Kind]
+	if !ok {
+		return nil, fmt.Errorf("stream kind %d is not supported", header.Kind)
+	}
+	return h, qs.SetReadDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,193 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/internal/transport/testtls"
+	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+func testAuthority(t testing.TB) *testtls.Authority {
+	t.Helper()
+	ca, err := testtls.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ca
+}
+
+func testEndpoint(t testing.TB, ca *testtls.Authority, name string) *Endpoint {
+	t.Helper()
+	conf, err := ca.Host(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := Listen("127.0.0.1:0", conf, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+func echo(_ context.Context, peer string, s Stream) {
+	var req wire.Probe
+	if wire.Read(s, &req, wire.MaxMessageBytes) == nil {
+		_ = wire.Write(s, wire.ProbeReply{Role: peer + ":" + req.Target})
+	}
+}
+
+func serve(e *Endpoint) { go func() { _ = e.Serve(context.Background()) }() }
+
+// Guards against answers that reach the wrong request when thousands run on one connection, and
+// against a peer name that isn't taken from the certificate.
+func TestConcurrentCalls(t *testing.T) {
+	is := is.New(t)
+	ca := testAuthority(t)
+	a, b := testEndpoint(t, ca, "a"), testEndpoint(t, ca, "b")
+	b.Handle(wire.KindProbe, echo)
+	serve(b)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	errs := make(chan error, 3000)
+	for i := range 3000 {
+		wg.Go(func() {
+			want := fmt.Sprint(i)
+			var reply wire.ProbeReply
+			err := a.Call(ctx, b.Addr(), wire.KindProbe, wire.Probe{Target: want}, &reply)
+			if err == nil && reply.Role != "a:"+want {
+				err = fmt.Errorf("request %s got answer %q", want, reply.Role)
+			}
+			if err != nil {
+				errs <- err
+			}
+		})
+	}
+	wg.Wait()
+	close(errs)
+	is.NoErr(<-errs)
+}
+
+// Guards against retries of requests that the peer may have handled, and against requests that are
+// not retried although nothing was sent.
+func TestVerdicts(t *testing.T) {
+	is := is.New(t)
+	ca := testAuthority(t)
+	a, b := testEndpoint(t, ca, "a"), testEndpoint(t, ca, "b")
+	b.Handle(wire.KindRenew, func(_ context.Context, _ string, s Stream) {
+		var req wire.Probe
+		_ = wire.Read(s, &req, wire.MaxMessageBytes)
+		s.Reset()
+	})
+	serve(b)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var reply wire.ProbeReply
+	err := a.Call(ctx, b.Addr(), wire.KindRenew, wire.Probe{}, &reply)
+	is.Equal(verdict.Of(err), verdict.MayHaveRun) // the handler read the request
+	err = a.Call(ctx, b.Addr(), wire.KindBorrow, wire.Probe{}, &reply)
+	is.Equal(verdict.Of(err), verdict.NotRun) // no handler of this kind
+	is.True(err != nil)
+
+	blackhole, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer blackhole.Close()
+	start := time.Now()
+	err = a.Call(ctx, blackhole.LocalAddr().String(), wire.KindRenew, wire.Probe{}, &reply)
+	is.Equal(verdict.Of(err), verdict.NotRun) // no connection
+	is.True(err != nil)
+	is.True(time.Since(start) < 3*time.Second)
+}
+
+// Guards against peers of another certificate authority being served or trusted.
+func TestForeignAuthority(t *testing.T) {
+	is := is.New(t)
+	a, b := testEndpoint(t, testAuthority(t), "a"), testEndpoint(t, testAuthority(t), "b")
+	called := make(chan struct{}, 1)
+	b.Handle(wire.KindProbe, func(context.Context, string, Stream) { called <- struct{}{} })
+	serve(b)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	err := a.Call(ctx, b.Addr(), wire.KindProbe, wire.Probe{}, &wire.ProbeReply{})
+	is.True(err != nil)
+	is.Equal(len(called), 0)
+}
+
+// Guards against a lost peer that blocks its callers for long or blocks calls to other peers, and
+// against a cached connection that stays broken after the peer has restarted.
+func TestLostPeer(t *testing.T) {
+	is := is.New(t)
+	ca := testAuthority(t)
+	a, c := testEndpoint(t, ca, "a"), testEndpoint(t, ca, "c")
+	conf, err := ca.Host("b")
+	is.NoErr(err)
+	b, err := Listen("127.0.0.1:0", conf, log.NewNopLogger())
+	is.NoErr(err)
+	reached := make(chan struct{})
+	b.Handle(wire.KindProbe, func(ctx context.Context, _ string, s Stream) {
+		close(reached)
+		<-ctx.Done()
+	})
+	c.Handle(wire.KindProbe, echo)
+	serve(b)
+	serve(c)
+	lost := make(chan error, 1)
+	addr := b.Addr()
+	go func() { lost <- a.Call(t.Context(), addr, wire.KindProbe, wire.Probe{}, &wire.ProbeReply{}) }()
+	<-reached
+	start := time.Now()
+	is.NoErr(b.socket.Close()) // the peer vanishes without a word
+	is.NoErr(a.Call(t.Context(), c.Addr(), wire.KindProbe, wire.Probe{}, &wire.ProbeReply{}))
+	is.True(time.Since(start) < time.Second)
+	is.Equal(verdict.Of(<-lost), verdict.MayHaveRun)
+	is.True(time.Since(start) < 3*time.Second)
+	_ = b.Close()
+
+	again, err := Listen(addr, conf, log.NewNopLogger())
+	is.NoErr(err)
+	defer again.Close()
+	again.Handle(wire.KindProbe, echo)
+	serve(again)
+	is.NoErr(a.Call(t.Context(), addr, wire.KindProbe, wire.Probe{}, &wire.ProbeReply{}))
+}
+
+// Guards against panics and unbounded reads on malformed stream headers and messages.
+func FuzzHeader(f *testing.F) {
+	for _, v := range []any{wire.Header{Version: wire.Version, Kind: wire.KindRenew}, wire.Renew{Host: "h"}} {
+		data, err := encode(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var header wire.Header
+		r := bytes.NewReader(data)
+		if err := wire.Read(r, &header, maxHeaderBytes); err == nil && len(data)-r.Len() > maxHeaderBytes+4 {
+			t.Fatal("header read past its limit")
+		}
+		var renew wire.Renew
+		if err := wire.Read(bytes.NewReader(data), &renew, wire.MaxMessageBytes); err != nil {
+			return
+		}
+		again, err := encode(renew)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var copied wire.Renew
+		if err := wire.Read(bytes.NewReader(again), &copied, wire.MaxMessageBytes); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -106,6 +106,15 @@
 	Returned        []HeldLease       `cbor:"11,keyasint,omitempty"`
 	Demand          map[string]uint64 `cbor:"12,keyasint,omitempty"` // team: tokens wanted for the next interval
 	Reports         []ServiceReport   `cbor:"13,keyasint,omitempty"` // of owned services
+
+	LotsHeld map[string]LotHeld `cbor:"14,keyasint,omitempty"` // team: lots in hand
+}
+
+// LotHeld tells the leader what is left of a team's lots. The host will use no lot with an id up to
+// ID beyond these tokens, even if one arrives late.
+type LotHeld struct {
+	ID   uint64 `cbor:"1,keyasint"` // highest lot id received
+	Left uint64 `cbor:"2,keyasint"` // unspent tokens of all lots up to ID
 }
 
 // HeldLease names the lease of a service that a host holds or gives back.
@@ -184,13 +193,20 @@
 	BootID string `cbor:"2,keyasint"`
 	Team   string `cbor:"3,keyasint"`
 	Tokens uint64 `cbor:"4,keyasint"`
+
+	Held LotHeld `cbor:"5,keyasint"` // zero: no lot received yet
 }
 
 // Lot is a loan of rate tokens. Tokens may be 0 when the bucket is empty.
 type Lot struct {
 	Team   string        `cbor:"1,keyasint"`
 	Tokens uint64        `cbor:"2,keyasint"`
-	TTL    time.Duration `cbor:"3,keyasint"` // counted by the borrower from the send of its request
+	TTL    time.Duration `cbor:"3,keyasint"`           // counted by the borrower from the send of its request
+	ID     uint64        `cbor:"4,keyasint"`           // grows with each lot, also over leaders
+	Wait   time.Duration `cbor:"5,keyasint,omitempty"` // a new leader lends nothing before this time has passed
+
+	NotLeader  bool   `cbor:"6,keyasint,omitempty"` // ask LeaderAddr; nothing else is set
+	LeaderAddr string `cbor:"7,keyasint,omitempty"`
 }
 
 // Announce is a target's announcement.
@@ -207,6 +223,9 @@
 	OK      bool          `cbor:"1,keyasint" json:"ok"`
 	Message string        `cbor:"2,keyasint,omitempty" json:"message,omitempty"`
 	TTL     time.Duration `cbor:"3,keyasint,omitempty" json:"-"` // announce again before this time has passed
+
+	NotLeader  bool   `cbor:"4,keyasint,omitempty" json:"-"`
+	LeaderAddr string `cbor:"5,keyasint,omitempty" json:"-"`
 }
 
 // Probe asks a host whether it reaches a target.
