Add control and agent

Cause: hosts need leases, routes, the catalog and rate tokens from a leader. Change: control.Machine (replicated state), control.Server (renewals, borrow, changes, announcements, operators' requests, failover steps) and agent.Agent (the host's side). A new owner has 1.5 s for its first renewal, so that its unused epoch isn't reassigned at once. The keeper divides tokens per interval of the bucket, not per borrower. Conclusion: three agents and one control member work over loopback.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,386 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/control"
+	"github.com/citronrun/citronrun/internal/lease"
+	"github.com/citronrun/citronrun/internal/transport"
+	"github.com/citronrun/citronrun/internal/transport/testtls"
+	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// testLog is a log with one member that applies proposals at once.
+type testLog struct {
+	machine *control.Machine
+	addr    string
+
+	mu         sync.Mutex
+	index      uint64
+	term       uint64
+	since      time.Time
+	cut        bool                  // no quorum: nothing is confirmed or committed
+	loseAnswer func(result any) bool // the entry is applied, but Propose fails
+}
+
+var errNoQuorum = errors.New("no quorum")
+
+func (l *testLog) Propose(_ context.Context, data []byte) (any, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		return nil, errNoQuorum
+	}
+	l.index++
+	result := l.machine.Apply(l.index, data)
+	if l.loseAnswer != nil && l.loseAnswer(result) {
+		return nil, errNoQuorum
+	}
+	return result, nil
+}
+
+func (l *testLog) Confirm(context.Context) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		return errNoQuorum
+	}
+	return nil
+}
+
+func (l *testLog) Leading() (time.Time, uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.since, l.term, true
+}
+
+func (l *testLog) LeaderAddr() string { return l.addr }
+
+func (l *testLog) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+// testConfig is a catalog that only counts revisions and remembers results by change id.
+type testConfig struct {
+	C       catalog.Catalog
+	Results map[string]catalog.Result
+}
+
+func (c *testConfig) Apply(change catalog.Change) catalog.Result {
+	if r, ok := c.Results[change.ID]; ok {
+		return r
+	}
+	c.C.Revision++
+	for _, op := range change.Ops {
+		c.C.Services[op.PutService.Name] = op.PutService.Service
+	}
+	r := catalog.Result{Code: catalog.CodeAccepted, Revision: c.C.Revision}
+	c.Results[change.ID] = r
+	return r
+}
+
+func (c *testConfig) Catalog() catalog.Catalog { return c.C }
+func (c *testConfig) Encode() ([]byte, error)  { return wire.Marshal(c) }
+
+func newTestConfig() *testConfig {
+	return &testConfig{
+		C: catalog.Catalog{
+			Services: map[string]catalog.Service{},
+			Teams:    map[string]catalog.Team{"t": {}},
+		},
+		Results: map[string]catalog.Result{},
+	}
+}
+
+type cluster struct {
+	ca     *testtls.Authority
+	log    *testLog
+	server *control.Server
+	addr   string
+	agents []*testAgent
+}
+
+// testAgent owns services without targets: it promotes p1 whenever it is told to elect.
+type testAgent struct {
+	*Agent
+	stop context.CancelFunc
+	done chan struct{}
+
+	mu     sync.Mutex
+	grants map[string]wire.LeaseGrant
+}
+
+func (a *testAgent) grant(service string) wire.LeaseGrant {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.grants[service]
+}
+
+func (a *testAgent) reports() []wire.ServiceReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var reports []wire.ServiceReport
+	for _, g := range a.grants {
+		r := wire.ServiceReport{Service: g.Service, Epoch: g.Epoch, Term: g.Term, Primary: "p1"}
+		r.Targets = []wire.TargetReport{{Target: "p1", Role: "primary", Term: g.Term}}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+func listen(t testing.TB, ca *testtls.Authority, name string) *transport.Endpoint {
+	t.Helper()
+	conf, err := ca.Host(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := transport.Listen("127.0.0.1:0", conf, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+func newCluster(t testing.TB, agents int) *cluster {
+	t.Helper()
+	ca, err := testtls.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	machine, err := control.NewMachine(newTestConfig(), func([]byte) (control.Configuration, error) {
+		return nil, errors.New("not used")
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := listen(t, ca, "c1")
+	// The election lies in the past, so that tests needn't wait for the end of the quarantine.
+	l := &testLog{machine: machine, addr: e.Addr(), term: 1, since: time.Now().Add(-time.Minute)}
+	c := &cluster{ca: ca, log: l, addr: e.Addr()}
+	c.server = control.New(control.Config{
+		Name: "c1", Machine: machine, Log: l, Transport: e, Clock: clock.System{}, Logger: log.NewNopLogger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = e.Serve(ctx) }()
+	go func() { _ = c.server.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	for i := range agents {
+		c.agents = append(c.agents, c.start(t, fmt.Sprint("h", i), clock.System{}))
+	}
+	return c
+}
+
+func (c *cluster) start(t testing.TB, name string, clk clock.Clock) *testAgent {
+	t.Helper()
+	e := listen(t, c.ca, name)
+	a := &testAgent{grants: map[string]wire.LeaseGrant{}, done: make(chan struct{})}
+	a.Agent = New(Config{
+		Host: name, Place: "p", Addr: e.Addr(), Entry: true, Control: []string{c.addr},
+		Transport: e, Clock: clk, Logger: log.NewNopLogger(),
+	})
+	a.OnGrant(func(g wire.LeaseGrant) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.grants[g.Service] = g
+	})
+	a.OnRevoke(func(service string, epoch uint64) {
+		a.mu.Lock()
+		delete(a.grants, service)
+		a.mu.Unlock()
+		a.Return(service, epoch)
+	})
+	a.Report(a.reports)
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stop = cancel
+	go func() { _ = e.Serve(ctx) }()
+	go func() { _ = a.Run(ctx); close(a.done) }()
+	t.Cleanup(func() { cancel(); <-a.done })
+	return a
+}
+
+func eventually(t testing.TB, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		if f() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("not within 10 s: %s", what)
+}
+
+func (c *cluster) addServices(t testing.TB, names ...string) {
+	t.Helper()
+	change := catalog.Change{ID: "add " + names[0]}
+	for _, name := range names {
+		put := &catalog.PutService{Name: name, Service: catalog.Service{Databases: 1}}
+		change.Ops = append(change.Ops, catalog.Op{PutService: put})
+	}
+	r, err := c.agents[0].Change(t.Context(), change)
+	if err != nil || r.Code != catalog.CodeAccepted {
+		t.Fatalf("change: %v %v", r, err)
+	}
+}
+
+// holders returns the agents with a valid lease of the service.
+func (c *cluster) holders(service string) []*testAgent {
+	var holders []*testAgent
+	for _, a := range c.agents {
+		if held, ok := (*a.leases.Load())[service]; ok && a.LeaseValid(service, held.Epoch) {
+			holders = append(holders, a)
+		}
+	}
+	return holders
+}
+
+// Guards against services that get no owner or all the same one, routes and catalogs that don't
+// reach every host, and elections that aren't recorded.
+func TestThreeAgents(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3)
+	eventually(t, "agents are confirmed", func() bool {
+		for _, a := range c.agents {
+			if a.Confirmed() > time.Second {
+				return false
+			}
+		}
+		return true
+	})
+	c.addServices(t, "s1", "s2", "s3")
+	for _, s := range []string{"s1", "s2", "s3"} {
+		eventually(t, "one holder and a recorded primary", func() bool {
+			h := c.holders(s)
+			return len(h) == 1 && h[0].grant(s).Primary == "p1" && c.log.machine.Service(s).Primary == "p1"
+		})
+		for _, a := range c.agents {
+			eventually(t, "route and catalog arrive", func() bool {
+				r, ok := a.Route(s)
+				return ok && r.Owner == c.holders(s)[0].Host && a.Catalog() != nil && a.Catalog().Revision == 1
+			})
+		}
+	}
+	owned := map[string]int{}
+	for _, s := range []string{"s1", "s2", "s3"} {
+		owned[c.holders(s)[0].Host]++
+	}
+	is.Equal(len(owned), 3) // spread evenly
+
+	first := c.holders("s1")[0]
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	start := time.Now()
+	is.NoErr(first.Drain(ctx))
+	eventually(t, "the service has moved", func() bool {
+		h := c.holders("s1")
+		return len(h) == 1 && h[0] != first
+	})
+	is.True(time.Since(start) < lease.TTL) // the lease was returned, not waited for
+}
+
+// Guards against two holders when a host pauses for longer than its lease and then goes on.
+func TestPausedAgent(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2)
+	c.addServices(t, "s")
+	eventually(t, "a holder", func() bool { return len(c.holders("s")) == 1 })
+	paused := c.holders("s")[0]
+	old := (*paused.leases.Load())["s"]
+	paused.stop() // it sends no more renewals, as if it were paused
+	<-paused.done
+	eventually(t, "another holder", func() bool {
+		if paused.LeaseValid("s", old.Epoch) && len(c.holders("s")) > 1 {
+			t.Fatal("two holders")
+		}
+		h := c.holders("s")
+		return len(h) == 1 && h[0] != paused
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	paused.renewOnce(ctx) // it wakes up
+	is.Equal(len(c.holders("s")), 1)
+	is.True(!paused.LeaseValid("s", old.Epoch))
+	is.True((*paused.leases.Load())["s"].Revoked || len(*paused.leases.Load()) == 0)
+}
+
+// Guards against a change that is applied twice or reported as failed when its answer is lost.
+func TestLostAnswer(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	lost := 0
+	c.log.set(func() {
+		c.log.loseAnswer = func(result any) bool {
+			if _, ok := result.(catalog.Result); !ok || lost == 3 {
+				return false
+			}
+			lost++
+			return true
+		}
+	})
+	r, err := c.agents[0].Change(t.Context(), catalog.Change{ID: "x"})
+	is.NoErr(err)
+	is.Equal(lost, 3)
+	is.Equal(r, catalog.Result{Code: catalog.CodeAccepted, Revision: 1})
+
+	c.log.set(func() { c.log.cut = true })
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err = c.agents[0].Change(ctx, catalog.Change{ID: "y"})
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+}
+
+// Guards against leases and confirmations given out by a leader without a quorum, and against
+// requests that are refused with another code than 57P03 then.
+func TestNoQuorum(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1)
+	c.addServices(t, "s")
+	eventually(t, "a holder", func() bool { return len(c.holders("s")) == 1 })
+	c.log.set(func() { c.log.cut = true })
+	eventually(t, "the lease expires", func() bool { return len(c.holders("s")) == 0 })
+	is.True(c.agents[0].Confirmed() >= lease.TTL)
+	err := c.agents[0].Take(t.Context(), "t", 1000)
+	is.Equal(verdict.As(err).Code, verdict.CodeUnavailable)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	c.log.set(func() {
+		c.log.cut = false
+		c.log.term = 2
+		c.log.since = time.Now()
+	})
+	eventually(t, "the new leader renews the recorded owner", func() bool { return len(c.holders("s")) == 1 })
+	is.Equal(c.log.machine.Service("s").Owner.Epoch, uint64(1))
+}
+
+// Guards against refusals within the burst, and against acceptance past it.
+func TestTake(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2)
+	got := 0
+	start := time.Now()
+	for i := 0; time.Since(start) < time.Second; i++ {
+		err := c.agents[i%2].Take(t.Context(), "t", 5)
+		if err == nil {
+			got += 5
+			continue
+		}
+		is.Equal(verdict.As(err).Code, verdict.CodeRateExceeded)
+	}
+	elapsed := time.Since(start).Seconds()
+	t.Log("tokens", got, "in", elapsed)
+	is.True(float64(got) <= catalog.DefaultRate*elapsed+catalog.DefaultBurst)
+	is.True(float64(got) >= 0.8*(catalog.DefaultRate*elapsed+catalog.DefaultBurst))
+}
--- /dev/null
+++ b/internal/agent/take.go
@@ -0,0 +1,145 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+const (
+	borrowTimeout = 1 * time.Second
+	// Spacing of Borrow requests of one team. Without it a team far above its rate would cause a
+	// request to the leader for each statement that is refused.
+	borrowSpacing      = 10 * time.Millisecond
+	emptyBorrowSpacing = 100 * time.Millisecond
+	maxBorrowTries     = 4
+)
+
+// flight is one Borrow request, shared by the requests of a team that wait for its answer.
+type flight struct {
+	done   chan struct{}
+	tokens uint64 // wanted by the requests that wait
+	lot    wire.Lot
+	err    error
+}
+
+// borrowed says how a team's last Borrow request ended.
+type borrowed struct {
+	at    time.Time
+	empty bool
+}
+
+// Take spends tokens of a team's rate. Before it refuses, it asks the leader with Borrow. An error
+// is a *verdict.Error with verdict NotRun: 53400 when the rate is exceeded, 57P03 when no control
+// leader answers.
+func (a *Agent) Take(ctx context.Context, team string, tokens int) error {
+	if tokens <= 0 {
+		return nil
+	}
+	n := uint64(tokens)
+	if a.spend(team, n) {
+		return nil
+	}
+	for range maxBorrowTries {
+		f := a.join(team, n)
+		select {
+		case <-f.done:
+		case <-ctx.Done():
+			return unreachable(context.Cause(ctx))
+		}
+		if f.err != nil {
+			return unreachable(f.err)
+		}
+		if a.spendAgain(team, n) {
+			return nil
+		}
+		if f.lot.Wait == 0 && f.lot.Tokens == 0 {
+			break
+		}
+		if !pause(ctx, f.lot.Wait) {
+			return unreachable(context.Cause(ctx))
+		}
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeRateExceeded, "the rate of team %q is exceeded", team)
+}
+
+func unreachable(cause error) error {
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no rate tokens: control is not reachable: %w", cause)
+}
+
+func (a *Agent) spend(team string, n uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.borrower.Take(a.Clock.Now(), team, n)
+}
+
+// spendAgain repeats a failed spend without counting its demand twice.
+func (a *Agent) spendAgain(team string, n uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.borrower.Retry(team, n)
+	return a.borrower.Take(a.Clock.Now(), team, n)
+}
+
+// join adds a request to the team's next Borrow request.
+func (a *Agent) join(team string, n uint64) *flight {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f := a.flights[team]
+	if f == nil {
+		f = &flight{done: make(chan struct{})}
+		a.flights[team] = f
+		go a.fly(team, f, a.spacing(team))
+	}
+	f.tokens += n
+	return f
+}
+
+func (a *Agent) spacing(team string) time.Duration {
+	last, ok := a.lastBorrow[team]
+	if !ok {
+		return 0
+	}
+	spacing := borrowSpacing
+	if last.empty {
+		spacing = emptyBorrowSpacing
+	}
+	return spacing - a.Clock.Now().Sub(last.at)
+}
+
+func (a *Agent) fly(team string, f *flight, delay time.Duration) {
+	defer close(f.done)
+	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	defer cancel()
+	pause(ctx, delay)
+	a.mu.Lock()
+	delete(a.flights, team)
+	want := a.borrower.Want(team, f.tokens)
+	a.lastBorrow[team] = borrowed{at: a.Clock.Now()}
+	a.mu.Unlock()
+	sent := time.Time{}
+	f.err = a.ask(ctx, func(ctx context.Context, addr string) (referral, error) {
+		req := wire.Borrow{Host: a.Host, BootID: a.boot, Team: team, Tokens: want, Held: a.heldOf(team)}
+		sent = a.Clock.Now()
+		f.lot = wire.Lot{}
+		err := a.Transport.Call(ctx, addr, wire.KindBorrow, req, &f.lot)
+		return referral{f.lot.NotLeader, f.lot.LeaderAddr}, err
+	})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if f.err != nil {
+		f.err = fmt.Errorf("borrow: %w", f.err)
+		return
+	}
+	a.borrower.Add(sent, f.lot)
+	a.lastBorrow[team] = borrowed{at: a.Clock.Now(), empty: f.lot.Tokens == 0}
+}
+
+func (a *Agent) heldOf(team string) wire.LotHeld {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.borrower.HeldOf(a.Clock.Now(), team)
+}
--- /dev/null
+++ b/internal/control/leader.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/failover"
+	"github.com/citronrun/citronrun/internal/lease"
+	"github.com/citronrun/citronrun/internal/ratelimit"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// aliveCacheTime bounds the age of the list of live hosts, which every step of a service needs.
+const aliveCacheTime = 50 * time.Millisecond
+
+// leader holds the tables of one leadership. All fields are guarded by Server.mu.
+type leader struct {
+	term     uint64
+	since    time.Time
+	ready    bool // the barrier is applied
+	table    *lease.Table
+	keeper   *ratelimit.Keeper
+	hosts    map[string]*host
+	services map[string]*service
+	targets  map[string]announced
+	drains   map[string]string // host told to drain by an operator: its boot id
+
+	limitsOf uint64 // catalog revision that the keeper's limits are from
+	limits   bool   // limitsOf is valid
+
+	cached   []failover.Host // answer of alive, as of cachedAt
+	cachedAt time.Time
+
+	owned       map[string][]string // services by owner, as of ownedRoutes
+	ownedRoutes uint64
+	ownedValid  bool
+}
+
+// host is an entry host as its renewals show it.
+type host struct {
+	boot     string
+	place    string
+	addr     string
+	entry    bool
+	draining bool
+	since    time.Time // first renewal of this process
+	seen     time.Time
+	revision uint64
+}
+
+// service is the volatile state of a service.
+type service struct {
+	machine  *failover.Machine
+	report   *failover.Report
+	reportOf lease.Owner // owner that sent it
+	busy     bool        // a proposal is under way
+}
+
+type announced struct {
+	wire.Announce
+	until time.Time
+}
+
+func newLeader(since time.Time, term uint64) *leader {
+	return &leader{
+		term:     term,
+		since:    since,
+		table:    lease.NewTable(since),
+		keeper:   ratelimit.NewKeeper(since, term),
+		hosts:    map[string]*host{},
+		services: map[string]*service{},
+		targets:  map[string]announced{},
+		drains:   map[string]string{},
+	}
+}
+
+// service returns the volatile state of a service, which starts with its first use.
+func (l *leader) service(now time.Time, name string, state Service) *service {
+	sv := l.services[name]
+	if sv == nil {
+		sv = &service{machine: failover.New(now, recordOf(state))}
+		l.services[name] = sv
+	}
+	return sv
+}
+
+func recordOf(s Service) failover.Record {
+	return failover.Record{Owner: s.Owner, Term: s.Term, Primary: s.Primary, Elect: s.Elect}
+}
+
+// alive returns the entry hosts that renewed lately, with the services that they own.
+func (l *leader) alive(m *Machine, now time.Time) []failover.Host {
+	if l.cached != nil && now.Sub(l.cachedAt) < aliveCacheTime {
+		return l.cached
+	}
+	owned := l.ownedBy(m)
+	hosts := make([]failover.Host, 0, len(l.hosts))
+	for name, h := range l.hosts {
+		if !h.entry || now.Sub(h.seen) > failover.HostSilence {
+			continue
+		}
+		hosts = append(hosts, failover.Host{
+			Name:     name,
+			Boot:     h.boot,
+			Place:    h.place,
+			Draining: h.draining || l.drains[name] == h.boot,
+			Since:    h.since,
+			Services: len(owned[name]),
+		})
+	}
+	l.cached = hosts
+	l.cachedAt = now
+	return hosts
+}
+
+// ownedBy returns the services of each recorded owner.
+func (l *leader) ownedBy(m *Machine) map[string][]string {
+	if l.ownedValid && m.RoutesVersion() == l.ownedRoutes {
+		return l.owned
+	}
+	routes, version := m.RoutesSince(0)
+	l.owned = map[string][]string{}
+	for _, r := range routes {
+		l.owned[r.Owner] = append(l.owned[r.Owner], r.Service)
+	}
+	l.ownedRoutes = version
+	l.ownedValid = true
+	return l.owned
+}
+
+// targetInfos returns the members of a service as their owner needs them. A member that was not
+// announced to this leader yet counts as present until an announcement is overdue.
+func (l *leader) targetInfos(now time.Time, s Service, labels func(target string) map[string]string) []wire.TargetInfo {
+	infos := make([]wire.TargetInfo, 0, len(s.Members))
+	for name, member := range s.Members {
+		info := wire.TargetInfo{Target: name, Addr: member.Addr, Place: member.Place, Labels: labels(name)}
+		if a, ok := l.targets[name]; ok {
+			info.Leaving = a.Leaving || now.After(a.until)
+		} else {
+			info.Leaving = now.Sub(l.since) > announceTTL
+		}
+		infos = append(infos, info)
+	}
+	slices.SortFunc(infos, func(a, b wire.TargetInfo) int { return cmp.Compare(a.Target, b.Target) })
+	return infos
+}
--- /dev/null
+++ b/internal/control/renew.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/failover"
+	"github.com/citronrun/citronrun/internal/lease"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+func (s *Server) renew(ctx context.Context, peer string, req *wire.Renew) (*wire.RenewReply, error) {
+	if peer != req.Host {
+		return nil, errImpostor
+	}
+	lead := s.confirmed(ctx)
+	if lead == nil {
+		return s.notLeader(), nil
+	}
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lead != lead {
+		return s.notLeader(), nil
+	}
+	s.noteHost(lead, now, req)
+	s.noteReturns(lead, now, req)
+	s.noteReports(lead, now, req)
+	reply := &wire.RenewReply{Leader: s.Name, LeaderTerm: lead.term, LeaseTTL: lease.TTL}
+	s.addCatalog(reply, req)
+	s.addRoutes(reply, req)
+	s.addGrants(lead, now, reply, req)
+	s.addLots(lead, now, reply, req)
+	return reply, nil
+}
+
+func (s *Server) notLeader() *wire.RenewReply {
+	return &wire.RenewReply{NotLeader: true, LeaderAddr: s.Log.LeaderAddr()}
+}
+
+func (s *Server) noteHost(lead *leader, now time.Time, req *wire.Renew) {
+	h := lead.hosts[req.Host]
+	if h == nil || h.boot != req.BootID {
+		h = &host{boot: req.BootID, since: now}
+		lead.hosts[req.Host] = h
+		lead.cached = nil
+	}
+	if h.draining != req.Draining || h.entry != req.Entry {
+		lead.cached = nil
+	}
+	h.place = req.Place
+	h.addr = req.Addr
+	h.entry = req.Entry
+	h.draining = req.Draining
+	h.seen = now
+	h.revision = req.CatalogRevision
+}
+
+// noteReturns frees the leases that a host gives back, and reassigns their services at once.
+func (s *Server) noteReturns(lead *leader, now time.Time, req *wire.Renew) {
+	for _, returned := range req.Returned {
+		state := s.Machine.Service(returned.Service)
+		owner := lease.Owner{Host: req.Host, Boot: req.BootID, Epoch: returned.Epoch}
+		if state.Owner != owner {
+			continue
+		}
+		lead.table.Return(returned.Service, state.Owner, owner)
+		s.step(lead, now, returned.Service)
+	}
+}
+
+func (s *Server) noteReports(lead *leader, now time.Time, req *wire.Renew) {
+	for _, r := range req.Reports {
+		state := s.Machine.Service(r.Service)
+		owner := lease.Owner{Host: req.Host, Boot: req.BootID, Epoch: r.Epoch}
+		if state.Owner != owner {
+			continue
+		}
+		sv := lead.service(now, r.Service, state)
+		sv.report = &failover.Report{At: now, Term: r.Term, Primary: r.Primary, Targets: r.Targets}
+		sv.reportOf = owner
+		s.step(lead, now, r.Service)
+	}
+}
+
+func (s *Server) addCatalog(reply *wire.RenewReply, req *wire.Renew) {
+	view := s.Machine.Catalog()
+	reply.Revision = view.Catalog.Revision
+	if req.CatalogRevision < view.Catalog.Revision {
+		reply.Catalog = view.Encoded
+	}
+}
+
+func (s *Server) addRoutes(reply *wire.RenewReply, req *wire.Renew) {
+	known := req.RoutesVersion
+	if known > s.Machine.RoutesVersion() {
+		known = 0 // of another cluster
+	}
+	reply.RoutesFull = known == 0
+	reply.Routes, reply.RoutesVersion = s.Machine.RoutesSince(known)
+}
+
+// addGrants renews the leases of the services whose recorded owner the host is.
+func (s *Server) addGrants(lead *leader, now time.Time, reply *wire.RenewReply, req *wire.Renew) {
+	view := s.Machine.Catalog()
+	labels := func(target string) map[string]string { return view.Catalog.Targets[target].Labels }
+	for _, name := range lead.ownedBy(s.Machine)[req.Host] {
+		state := s.Machine.Service(name)
+		sv := lead.service(now, name, state)
+		claimant := lease.Owner{Host: req.Host, Boot: req.BootID, Epoch: state.Owner.Epoch}
+		if !sv.machine.Renewable() || !lead.table.Renew(now, name, state.Owner, claimant) {
+			continue
+		}
+		reply.Grants = append(reply.Grants, wire.LeaseGrant{
+			Service: name,
+			Epoch:   state.Owner.Epoch,
+			Term:    state.Term,
+			Primary: state.Primary,
+			Elect:   state.Elect,
+			Prefer:  state.Prefer,
+			Targets: lead.targetInfos(now, state, labels),
+		})
+	}
+}
+
+func (s *Server) addLots(lead *leader, now time.Time, reply *wire.RenewReply, req *wire.Renew) {
+	s.updateLimits(lead, now)
+	who := borrowerID(req.Host, req.BootID)
+	for team, held := range req.LotsHeld {
+		lead.keeper.Settle(now, who, team, held)
+	}
+	for team, want := range req.Demand {
+		lot := lead.keeper.Lend(now, who, team, want, true)
+		if lot.Tokens > 0 {
+			reply.Lots = append(reply.Lots, lot)
+		}
+	}
+}
+
+func borrowerID(host, boot string) string { return host + "/" + boot }
+
+func (s *Server) borrow(ctx context.Context, peer string, req *wire.Borrow) (*wire.Lot, error) {
+	if peer != req.Host {
+		return nil, errImpostor
+	}
+	refer := &wire.Lot{NotLeader: true, LeaderAddr: s.Log.LeaderAddr()}
+	lead := s.confirmed(ctx)
+	if lead == nil {
+		return refer, nil
+	}
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lead != lead {
+		return refer, nil
+	}
+	s.updateLimits(lead, now)
+	who := borrowerID(req.Host, req.BootID)
+	lead.keeper.Settle(now, who, req.Team, req.Held)
+	lot := lead.keeper.Lend(now, who, req.Team, req.Tokens, false)
+	return &lot, nil
+}
+
+// updateLimits gives the keeper the limits of a new catalog revision.
+func (s *Server) updateLimits(lead *leader, now time.Time) {
+	view := s.Machine.Catalog()
+	if lead.limits && lead.limitsOf == view.Catalog.Revision {
+		return
+	}
+	for team := range view.Catalog.Teams {
+		rate, burst := s.Limits(&view.Catalog, team)
+		lead.keeper.SetRate(now, team, rate, burst)
+	}
+	rate, burst := s.Limits(&view.Catalog, catalog.OpenTeam)
+	lead.keeper.SetRate(now, catalog.OpenTeam, rate, burst)
+	lead.limits = true
+	lead.limitsOf = view.Catalog.Revision
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/transport"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+const (
+	tick           = 100 * time.Millisecond
+	confirmTimeout = 500 * time.Millisecond
+	proposeTimeout = 2 * time.Second
+	barrierTimeout = 3 * time.Second
+	announceTTL    = 3 * time.Second
+)
+
+// Log is the replicated log that applies its entries to the Machine.
+type Log interface {
+	// Propose appends data and returns what Apply returned for it. After an error the entry may or
+	// may not be applied later.
+	Propose(ctx context.Context, data []byte) (any, error)
+	// Confirm returns nil if a quorum has confirmed this member's leadership after the call began.
+	Confirm(ctx context.Context) error
+	// Leading returns since when and in which consensus term this member leads.
+	Leading() (since time.Time, term uint64, ok bool)
+	// LeaderAddr returns the address of the presumed leader, or "".
+	LeaderAddr() string
+}
+
+// Members changes the members of the consensus group.
+type Members interface {
+	AddMember(ctx context.Context, id uint64, addr string) error
+	RemoveMember(ctx context.Context, id uint64) error
+	Status() any // for the JSON status
+}
+
+// Config holds what a Server works with. All fields but Members and Limits are required.
+type Config struct {
+	Name      string // host name of this control host
+	Machine   *Machine
+	Log       Log
+	Members   Members
+	Transport *transport.Endpoint
+	Clock     clock.Clock
+	Logger    log.Logger
+	// Limits returns the rate in tokens/s and burst in tokens of a team. Without it every team has
+	// the catalog's defaults.
+	Limits func(c *catalog.Catalog, team string) (rate, burst float64)
+}
+
+// Server answers hosts while its member leads, and refers them to the leader otherwise.
+type Server struct {
+	Config
+	confirmer confirmer
+
+	mu     sync.Mutex
+	lead   *leader // nil: this member doesn't lead
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+// New returns a server and registers its handlers at the transport endpoint, which must not serve
+// yet.
+func New(c Config) *Server {
+	if c.Limits == nil {
+		c.Limits = func(*catalog.Catalog, string) (float64, float64) {
+			return catalog.DefaultRate, catalog.DefaultBurst
+		}
+	}
+	c.Logger = log.With(c.Logger, "component", "control")
+	s := &Server{Config: c}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.confirmer.confirm = s.Log.Confirm
+	s.Transport.Handle(wire.KindRenew, serve(s, s.renew))
+	s.Transport.Handle(wire.KindBorrow, serve(s, s.borrow))
+	s.Transport.Handle(wire.KindChange, serve(s, s.change))
+	s.Transport.Handle(wire.KindAnnounce, serve(s, s.announce))
+	s.Transport.Handle(wire.KindAdmin, serve(s, s.admin))
+	return s
+}
+
+// errImpostor means that a message names another host than the certificate of its sender.
+var errImpostor = errors.New("message is not from the host that it names")
+
+// serve makes a stream handler of a function from request to answer. After an error the stream is
+// reset without an answer.
+func serve[Req, Resp any](s *Server, f func(ctx context.Context, peer string, req *Req) (Resp, error)) transport.Handler {
+	return func(ctx context.Context, peer string, stream transport.Stream) {
+		var req Req
+		if err := wire.Read(stream, &req, wire.MaxMessageBytes); err != nil {
+			stream.Reset()
+			return
+		}
+		resp, err := f(ctx, peer, &req)
+		if err == nil {
+			err = wire.Write(stream, resp)
+		}
+		if err != nil {
+			_ = level.Debug(s.Logger).Log("msg", "request failed", "peer", peer, "err", err)
+			stream.Reset()
+		}
+	}
+}
+
+// Run leads whenever the log says so, until ctx ends. It returns nil.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.work.Wait()
+	defer s.cancel()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.follow()
+			s.stepAll()
+		}
+	}
+}
+
+// follow starts and ends leadership as the log does.
+func (s *Server) follow() {
+	since, term, ok := s.Log.Leading()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !ok {
+		s.lead = nil
+		return
+	}
+	if s.lead != nil && s.lead.term == term {
+		return
+	}
+	lead := newLeader(since, term)
+	s.lead = lead
+	s.work.Go(func() { s.takeOver(lead) })
+}
+
+// takeOver commits the barrier. Once it is applied, the machine holds everything that earlier
+// leaders have committed, and the leader may act.
+func (s *Server) takeOver(lead *leader) {
+	ctx, cancel := context.WithTimeout(s.ctx, barrierTimeout)
+	defer cancel()
+	err := s.propose(ctx, command{Barrier: &barrier{Term: lead.term}})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lead != lead {
+		return
+	}
+	if err != nil {
+		_ = level.Warn(s.Logger).Log("msg", "leadership not taken over", "term", lead.term, "err", err)
+		s.lead = nil // the next tick tries again
+		return
+	}
+	_ = level.Info(s.Logger).Log("msg", "leadership taken over", "term", lead.term)
+	lead.ready = true
+}
+
+// propose commits a command other than a change. A command without effect is an error.
+func (s *Server) propose(ctx context.Context, c command) error {
+	result, err := s.proposeAny(ctx, c)
+	if err != nil {
+		return err
+	}
+	if refused, ok := result.(error); ok {
+		return refused
+	}
+	return nil
+}
+
+func (s *Server) proposeAny(ctx context.Context, c command) (any, error) {
+	data, err := wire.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode command: %w", err)
+	}
+	return s.Log.Propose(ctx, data)
+}
+
+// leading returns the leader's tables, or nil when this member doesn't lead or isn't ready.
+func (s *Server) leading() *leader {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lead == nil || !s.lead.ready {
+		return nil
+	}
+	return s.lead
+}
+
+// confirmed returns the leader's tables after a quorum has confirmed, since the call began, that
+// this member leads in their term. It returns nil otherwise.
+func (s *Server) confirmed(ctx context.Context) *leader {
+	lead := s.leading()
+	if lead == nil || s.confirmer.wait(ctx) != nil {
+		return nil
+	}
+	if _, term, ok := s.Log.Leading(); !ok || term != lead.term {
+		return nil
+	}
+	return lead
+}
+
+// Leading reports whether this member leads and acts as the leader.
+func (s *Server) Leading() bool { return s.leading() != nil }
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -132,7 +132,7 @@
 			return
 		}
 		w.record.Owner = lease.Owner{Host: a.Host, Boot: a.Boot, Epoch: w.record.Owner.Epoch + 1}
-		w.table.Assigned("s", w.record.Owner)
+		w.table.Assigned(w.now, "s", w.record.Owner)
 		if a.Elect {
 			w.record.Term, w.record.Elect, w.record.Primary = a.Term, true, ""
 		}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -90,7 +90,7 @@
 	}
 	h := rapid.SampledFrom(m.hosts).Draw(t, "new owner")
 	m.recorded = Owner{Host: h.name, Boot: "1", Epoch: m.recorded.Epoch + 1}
-	m.leader.Assigned("s", m.recorded)
+	m.leader.Assigned(m.now, "s", m.recorded)
 }
 
 func (m *model) elect(*rapid.T) {
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -16,6 +16,9 @@
 	Margin = TTL / 10
 	// Hold is how long the leader waits after a grant or an election before a lease has expired.
 	Hold = TTL + Margin
+	// FirstRenewal is how long a new owner has to ask for its lease before the service goes to
+	// another host. Hosts renew every 500 ms.
+	FirstRenewal = 1500 * time.Millisecond
 )
 
 // Owner is the recorded owner of a service. A process that restarts gets a new boot id and is
@@ -57,12 +60,13 @@
 }
 
 // Assigned notes that the leader itself has committed a new owner, after Close had succeeded for
-// the previous one. The new owner has no lease yet, unless it has renewed since the commit.
-func (t *Table) Assigned(service string, recorded Owner) {
+// the previous one. The new owner has no lease yet, unless it has renewed since the commit. Its
+// epoch isn't free during FirstRenewal, so that it can ask for the lease.
+func (t *Table) Assigned(now time.Time, service string, recorded Owner) {
 	if e := t.entries[service]; e != nil && e.owner == recorded {
 		return
 	}
-	t.entries[service] = &entry{owner: recorded}
+	t.entries[service] = &entry{owner: recorded, until: now.Add(FirstRenewal)}
 }
 
 // Renew grants or renews the lease if the claimant is the recorded owner and the lease is not
--- a/internal/ratelimit/keeper.go
+++ b/internal/ratelimit/keeper.go
@@ -42,16 +42,18 @@
 	at          time.Time // level is as of this time
 	outstanding float64
 	borrowers   map[string]*borrower
+
+	window time.Time // start of the interval in which tokens are divided
+	supply float64   // tokens that can be lent in this interval
 }
 
 // borrower is the leader's view of one process that borrows.
 type borrower struct {
-	lots     []lentLot // in order of id, and hence of expiry
-	settled  uint64    // highest lot id that the host has reported
-	want     float64   // latest demand
-	wantAt   time.Time
-	given    float64 // in the window that started at givenFrom
-	givenFor time.Time
+	lots    []lentLot // in order of id, and hence of expiry
+	settled uint64    // highest lot id that the host has reported
+	want    float64   // latest demand
+	wantAt  time.Time
+	given   float64 // in the bucket's present interval
 }
 
 type lentLot struct {
@@ -132,7 +134,8 @@
 		return lot
 	}
 	b.advance(now)
-	br := b.borrower(now, who)
+	b.divide(now)
+	br := b.borrower(who)
 	br.note(now, float64(want), renewal)
 	n := math.Floor(min(float64(want), b.level, b.share(now, br)))
 	if n < 1 {
@@ -152,20 +155,28 @@
 	br.lots = append(br.lots, lot)
 }
 
-func (b *bucket) borrower(now time.Time, who string) *borrower {
+// divide starts a new interval when the present one has ended.
+func (b *bucket) divide(now time.Time) {
+	if now.Sub(b.window) < Interval {
+		return
+	}
+	b.window = now
+	b.supply = b.level + b.rate*Interval.Seconds()
+	for _, br := range b.borrowers {
+		br.given = 0
+	}
+}
+
+func (b *bucket) borrower(who string) *borrower {
 	br := b.borrowers[who]
 	if br == nil {
-		br = &borrower{givenFor: now}
+		br = &borrower{}
 		b.borrowers[who] = br
 	}
 	return br
 }
 
 func (br *borrower) note(now time.Time, want float64, renewal bool) {
-	if now.Sub(br.givenFor) >= Interval {
-		br.given = 0
-		br.givenFor = now
-	}
 	if renewal || now.Sub(br.wantAt) > demandMemory {
 		br.want = want
 	} else {
@@ -183,11 +194,10 @@
 			total += other.want
 		}
 	}
-	supply := b.level + b.rate*Interval.Seconds()
-	if total <= supply {
+	if total <= b.supply {
 		return math.Inf(1)
 	}
-	return max(1, math.Ceil(supply*br.want/total)) - br.given
+	return max(1, math.Ceil(b.supply*br.want/total)) - br.given
 }
 
 // room is the highest level that the bound permits at present.
