--- /dev/null
+++ b/internal/owner/state.go
@@ -0,0 +1,43 @@
+package owner
+
+import (
+	"sort"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// serviceState is the dump of a service.
+type serviceState struct {
+	Epoch    uint64              `json:"epoch"`
+	Term     uint64              `json:"term"`
+	AckTerm  uint64              `json:"ack_term"`
+	Primary  string              `json:"primary"`
+	Election string              `json:"election,omitempty"`
+	Lease    bool                `json:"lease_valid"`
+	Revoked  bool                `json:"revoked"`
+	Active   int                 `json:"active"`
+	Writers  int                 `json:"writers"`
+	Waiting  int                 `json:"waiting_for_status"`
+	Targets  []wire.TargetReport `json:"targets"`
+	Load     map[string]int      `json:"load"`
+}
+
+func (s *service) state() serviceState {
+	report := s.report()
+	out := serviceState{Epoch: s.epoch, Lease: s.leaseValid(), Targets: report.Targets, Load: map[string]int{}}
+	for _, t := range report.Targets {
+		out.Load[t.Target], _ = s.gate.Load(t.Target)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out.Term, out.AckTerm, out.Primary = s.group.Term, s.ackTerm, s.primary
+	out.Revoked, out.Active, out.Writers, out.Waiting = s.revoked, s.active, s.writers, s.waiting
+	if s.election != nil {
+		out.Election = s.election.phase
+	}
+	return out
+}
+
+func sortReports(r []wire.TargetReport) {
+	sort.Slice(r, func(i, j int) bool { return r[i].Target < r[j].Target })
+}
--- /dev/null
+++ b/internal/owner/up.go
@@ -0,0 +1,182 @@
+package owner
+
+import (
+	"context"
+	"encoding/binary"
+
+	"github.com/citronrun/citronrun/internal/pgwire"
+)
+
+// up moves request frames to the target until the stream or the transaction ends.
+func (t *tx) up() {
+	var buf []byte
+	for {
+		f, err := t.reader.Next()
+		if err != nil || f.Type() == pgwire.Terminate {
+			t.callerGone()
+			return
+		}
+		buf = append(buf, f...)
+		if t.reader.Buffered() > 0 && len(buf) < sendBytes {
+			continue
+		}
+		if !t.forward(buf) {
+			return
+		}
+		if cap(buf) > 2*sendBytes {
+			buf = nil // a single huge frame must not be kept
+		}
+		buf = buf[:0]
+	}
+}
+
+// callerGone gives up an unfinished transaction whose caller has left. A running statement is
+// cancelled, so that it doesn't keep the target busy.
+func (t *tx) callerGone() {
+	t.cancelStatement()
+	t.abort(errCallerGone)
+}
+
+// forward sends whole frames. It returns false when the transaction is over.
+func (t *tx) forward(frames []byte) bool {
+	p, resume := t.beginSend(frames)
+	if p == nil {
+		return false
+	}
+	if resume && !t.resume(p) {
+		t.endSend(nil)
+		return false
+	}
+	err := p.conn.Send(frames)
+	t.endSend(err)
+	return err == nil
+}
+
+func (t *tx) beginSend(frames []byte) (p *placed, resume bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for t.switching && !t.ended && t.cause == nil {
+		t.cond.Wait()
+	}
+	if t.ended || t.cause != nil {
+		return nil, false
+	}
+	t.sending, t.sent, t.idle = true, true, false
+	t.syncs += countSyncs(frames)
+	t.keep(frames)
+	return t.p, !t.slot
+}
+
+// resume waits for a slot for the next statement of a block. Without a lease no statement starts.
+func (t *tx) resume(p *placed) bool {
+	if !t.s.leaseValid() {
+		t.abort(errLeaseExpired)
+		return false
+	}
+	if err := p.ticket.Resume(t.ctx); err != nil {
+		t.abort(err)
+		return false
+	}
+	t.mu.Lock()
+	t.slot = true
+	t.mu.Unlock()
+	return true
+}
+
+func (t *tx) endSend(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sending = false
+	if err != nil {
+		t.kill()
+	} else if !t.ended && t.cause == nil {
+		t.settle()
+		if t.ended {
+			t.kill() // wakes down, which waits for a response that won't come
+		}
+	}
+	t.cond.Broadcast()
+}
+
+// keep records requests for a second run at the primary, up to a bound. The caller holds mu.
+func (t *tx) keep(frames []byte) {
+	if !t.recording {
+		return
+	}
+	if len(t.record)+len(frames) > recordBytes {
+		t.recording, t.record = false, nil
+		return
+	}
+	t.record = append(t.record, frames...)
+}
+
+func countSyncs(frames []byte) int {
+	n := 0
+	for len(frames) >= pgwire.HeaderBytes {
+		if frames[0] == pgwire.Sync || frames[0] == pgwire.Query {
+			n++
+		}
+		size := int(binary.BigEndian.Uint32(frames[1:])) + 1
+		frames = frames[min(size, len(frames)):]
+	}
+	return n
+}
+
+// canRerun reports whether the transaction can be moved to the primary: it ran at a replica, nothing
+// was relayed, and all of its requests were kept.
+func (t *tx) canRerun() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recording && !t.d.relayed && !t.p.primary && t.cause == nil
+}
+
+// rerun moves a transaction that a replica refused, or failed to answer, to the primary. When that
+// isn't possible, it answers the caller with an error and returns false.
+func (t *tx) rerun(cause error) bool {
+	if !t.canRerun() {
+		t.fail(cause)
+		return false
+	}
+	t.leaveReplica()
+	ctx, cancel := context.WithTimeout(t.ctx, rerunTimeout)
+	defer cancel()
+	p, err := t.s.placePrimary(ctx, t.job)
+	if err != nil {
+		t.fail(cause)
+		return false
+	}
+	reruns.Inc()
+	t.attach(p)
+	if err := t.replay(); err != nil {
+		t.fail(err)
+		return false
+	}
+	return true
+}
+
+// leaveReplica gives back the replica's connection.
+func (t *tx) leaveReplica() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.switching = true
+	t.p.conn.Discard()
+	t.release()
+}
+
+// replay sends the recorded requests to the primary, before up may send more.
+func (t *tx) replay() error {
+	t.mu.Lock()
+	frames := t.record
+	t.record, t.cancelled = nil, false
+	t.mu.Unlock()
+	t.d.reset()
+	var err error
+	if len(frames) > 0 {
+		err = t.p.conn.Send(frames)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.switching = false
+	t.cond.Broadcast()
+	return err
+}
