Add the administration API and citronctl

Cause: operators change labels, selectors and keys while traffic flows. Change: HTTP API with tokens, state dump, health and metrics; citronctl with apply, diff, get, label, key, status, members, promote, drain, forget, dump, watch and certs. A change is sent again by its id until its outcome is known.

--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,222 @@
+// Package admin serves HTTP for operators, the platform and targets: the administration API, health,
+// metrics and the state dump.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+const (
+	maxBodyBytes      = 1 << 20
+	requestTimeout    = 15 * time.Second // bounds the search for a leader and the commit of a change
+	headerTimeout     = 5 * time.Second
+	watchTimeout      = 30 * time.Second
+	watchInterval     = 50 * time.Millisecond
+	shutdownGrace     = 2 * time.Second
+	maxAnnounceBytes  = 4 << 10
+	contentTypeJSON   = "application/json"
+	codeUnavailable   = "unavailable"
+	codeBadRequest    = "bad_request"
+	codeUnauthorized  = "unauthorized"
+	codeUnknownResult = "outcome_unknown"
+)
+
+// Backend is the host's connection to the control leader.
+type Backend interface {
+	// Catalog returns the newest configuration that this host has, or nil before the first one.
+	Catalog() *catalog.Snapshot
+	// Confirmed returns the time since the control leader last confirmed the configuration.
+	Confirmed() time.Duration
+	// Change submits a change. It may be called again with the same change after an error.
+	Change(ctx context.Context, c catalog.Change) (catalog.Result, error)
+	// Announce passes on a target's announcement.
+	Announce(ctx context.Context, a wire.Announce) (wire.AnnounceReply, error)
+	// Admin carries out an operator's request at the leader.
+	Admin(ctx context.Context, req wire.AdminRequest) (wire.AdminReply, error)
+}
+
+// Config configures a Server.
+type Config struct {
+	Host    string
+	Backend Backend
+	Ready   func() error          // nil when the host takes callers
+	State   map[string]func() any // parts of the state dump
+	Tokens  *Tokens               // nil: no token is asked for
+	Metrics func() []*metrics.Set // metric sets besides the default one; may be nil
+	Logger  log.Logger
+}
+
+// Server serves the API.
+type Server struct {
+	cfg  Config
+	http *http.Server
+}
+
+// New returns a Server; Serve starts it.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
+	return s
+}
+
+// Handler returns the API's routes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", s.health)
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.HandleFunc("GET /debug/state", s.operator(s.state))
+	mux.HandleFunc("GET /debug/pprof/", s.operator(pprof.Index))
+	mux.HandleFunc("GET /debug/pprof/profile", s.operator(pprof.Profile))
+	mux.HandleFunc("GET /v1/catalog", s.operator(s.catalog))
+	mux.HandleFunc("GET /v1/watch", s.operator(s.watch))
+	mux.HandleFunc("POST /v1/changes", s.operator(s.change))
+	mux.HandleFunc("POST /v1/announce", s.operator(s.announce))
+	s.adminRoutes(mux)
+	return mux
+}
+
+// Serve accepts connections until Shutdown. The listener may be a TLS listener.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Shutdown stops accepting and waits a short time for running requests.
+func (s *Server) Shutdown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, shutdownGrace)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		return s.http.Close() // watchers may wait longer than the grace time
+	}
+	return nil
+}
+
+// operator asks for a token when tokens are configured.
+func (s *Server) operator(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if s.cfg.Tokens == nil {
+			next(w, r)
+			return
+		}
+		name, ok := s.cfg.Tokens.Operator(r)
+		if !ok {
+			writeError(w, http.StatusUnauthorized, codeUnauthorized, "a valid operator token is needed: Authorization: Bearer TOKEN")
+			return
+		}
+		next(w, r.WithContext(withOperator(r.Context(), name)))
+	}
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") }
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.cfg.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(w, true)
+	if s.cfg.Metrics == nil {
+		return
+	}
+	for _, set := range s.cfg.Metrics() {
+		set.WritePrometheus(w)
+	}
+}
+
+func (s *Server) state(w http.ResponseWriter, _ *http.Request) {
+	parts := make(map[string]any, len(s.cfg.State)+1)
+	parts["host"] = s.cfg.Host
+	for name, part := range s.cfg.State {
+		parts[name] = part()
+	}
+	writeJSON(w, http.StatusOK, parts)
+}
+
+func (s *Server) catalog(w http.ResponseWriter, _ *http.Request) {
+	snap := s.cfg.Backend.Catalog()
+	if snap == nil {
+		writeError(w, http.StatusServiceUnavailable, codeUnavailable, "this host has no configuration yet")
+		return
+	}
+	writeJSON(w, http.StatusOK, snap.Catalog())
+}
+
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	var a wire.Announce
+	if !readJSON(w, r, &a, maxAnnounceBytes) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	reply, err := s.cfg.Backend.Announce(ctx, a)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, codeUnavailable, err.Error())
+		return
+	}
+	status := http.StatusOK
+	if !reply.OK {
+		status = http.StatusUnprocessableEntity
+	}
+	writeJSON(w, status, reply)
+}
+
+// Error is the body of every refusal of the API.
+type Error struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, struct {
+		Error Error `json:"error"`
+	}{Error{Code: code, Message: message}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		http.Error(w, "encode answer: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", contentTypeJSON)
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n'))
+}
+
+// readJSON decodes a request body and refuses unknown fields. It answers the request itself when
+// the body is bad.
+func readJSON(w http.ResponseWriter, r *http.Request, v any, limit int64) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		writeError(w, http.StatusBadRequest, codeBadRequest, "request body: "+err.Error())
+		return false
+	}
+	return true
+}
+
+func (s *Server) logChange(c catalog.Change, res catalog.Result) {
+	_ = level.Info(s.cfg.Logger).Log("msg", "change decided", "id", c.ID, "operator", c.Operator,
+		"base", c.Base, "code", res.Code, "revision", res.Revision, "field", res.Field)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -86,30 +86,20 @@
 
 func (s *Settings) checkMember() *Error {
 	if !s.Has(RoleControl) {
+		if s.Bootstrap {
+			return fault("bootstrap", "is set without the control role")
+		}
 		return nil
 	}
 	if s.DataDir == "" {
 		return fault("data_dir", "is missing: the control role needs a folder on a disk")
 	}
-	if s.Member == nil || s.Member.ID == 0 {
-		return fault("member", "is missing: the control role needs a member with an id above 0")
-	}
-	if len(s.Member.Initial) == 0 {
-		return nil
-	}
-	found := false
-	for i, m := range s.Member.Initial {
-		field := fmt.Sprintf("member.initial[%d]", i)
-		if m.ID == 0 {
-			return fault(field+".id", "is 0 or missing")
-		}
-		if err := checkAddr(field+".addr", m.Addr); err != nil {
-			return err
-		}
-		found = found || m.ID == s.Member.ID
+	self := s.Listen.Peers
+	if s.Listen.PeersAdvertised != "" {
+		self = s.Listen.PeersAdvertised
 	}
-	if !found {
-		return fault("member.initial", "lacks this member's id %d", s.Member.ID)
+	if !slices.Contains(s.Control, self) {
+		return fault("control", "lacks this control host's own address %s", self)
 	}
 	return nil
 }
@@ -167,5 +157,8 @@
 			return fault(f.field, "is %s, want more than 0", f.value.Value())
 		}
 	}
+	if s.ShutdownDelay < 0 || s.ShutdownDelay >= s.ShutdownTimeout {
+		return fault("shutdown_delay", "is %s, want 0s up to less than shutdown_timeout", s.ShutdownDelay.Value())
+	}
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,8 +27,10 @@
 	Listen  Listen   `json:"listen"`  // addresses of this daemon
 	Control []string `json:"control"` // addresses of the control hosts for other daemons, IP:PORT
 
-	DataDir string  `json:"data_dir"` // control role: folder on a disk
-	Member  *Member `json:"member"`   // control role: this member of the consensus group
+	DataDir string `json:"data_dir"` // control role: folder on a disk
+	// Bootstrap lets one control host found the group, once all hosts in Control have answered that
+	// they belong to none. It is set on one host only and ignored once the data folder has contents.
+	Bootstrap bool `json:"bootstrap"`
 
 	PeerTLS   TLS      `json:"peer_tls"`   // between daemons, mutual
 	CallerTLS *KeyPair `json:"caller_tls"` // towards callers; missing: no TLS offered
@@ -37,6 +39,9 @@
 	Limits    Limits   `json:"limits"`
 
 	ShutdownTimeout Duration `json:"shutdown_timeout"` // bound of a graceful shutdown
+	// ShutdownDelay is the time between the host's first answer that it isn't ready and the start of
+	// the hand-over, so that the platform's balancer sends no new callers by then.
+	ShutdownDelay Duration `json:"shutdown_delay"`
 }
 
 // Listen holds the addresses that a daemon listens on, as IP:PORT.
@@ -49,20 +54,6 @@
 	PeersAdvertised string `json:"peers_advertised"`
 }
 
-// Member describes this control host in the consensus group.
-type Member struct {
-	ID uint64 `json:"id"` // never used before: a host whose disk was lost gets a new one
-	// Initial lists the first members of a new group, this one included. It is used only when the
-	// data folder is empty. Without it the member waits until it is added to a running group.
-	Initial []InitialMember `json:"initial"`
-}
-
-// InitialMember is a member of a new group.
-type InitialMember struct {
-	ID   uint64 `json:"id"`
-	Addr string `json:"addr"` // QUIC address IP:PORT
-}
-
 // TLS names certificate files in PEM form.
 type TLS struct {
 	CA   string `json:"ca"`
@@ -137,6 +128,7 @@
 // Default values of optional settings.
 const (
 	DefaultShutdownTimeout = Duration(30 * time.Second)
+	DefaultShutdownDelay   = Duration(2 * time.Second)
 	DefaultConnections     = 10_000
 	DefaultAuthTimeout     = Duration(10 * time.Second)
 	DefaultWriteTimeout    = Duration(30 * time.Second)
@@ -149,6 +141,7 @@
 func Defaults() Settings {
 	return Settings{
 		ShutdownTimeout: DefaultShutdownTimeout,
+		ShutdownDelay:   DefaultShutdownDelay,
 		Targets:         Targets{User: "citronrun", Warm: DefaultWarm, Timeout: DefaultConnectTimeout},
 		Limits: Limits{
 			Connections:  DefaultConnections,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,7 +48,9 @@
 		"missing":        {`"ca": "ca.crt", `, ``, 8, "peer_tls.ca"},
 		"number":         {`"queue_timeout": "2s"`, `"connections": 0`, 9, "limits.connections"},
 		"open admin":     {`"127.0.0.1:8432"`, `"10.0.0.1:8432"`, 1, "admin"},
-		"member":         {`["entry"]`, `["entry", "control"], "data_dir": "d"`, 1, "member"},
+		"no disk":        {`["entry"]`, `["entry", "control"]`, 1, "data_dir"},
+		"own address":    {`["entry"]`, `["entry", "control"], "data_dir": "d"`, 7, "control"},
+		"bootstrap":      {`["entry"]`, `["entry"], "bootstrap": true`, 5, "bootstrap"},
 		"syntax":         {`"cardiff",`, `"cardiff"`, 5, ""},
 	}
 	for name, c := range cases {
@@ -67,7 +69,7 @@
 // Guards against a crash on any input.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
-	f.Add([]byte(`{"member": {"initial": [1]}}`))
+	f.Add([]byte(`{"listen": {"peers": [1]}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, err := Parse(data)
 		if (s == nil) == (err == nil) {
