--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/lease"
 	"github.com/citronrun/citronrun/internal/ratelimit"
@@ -50,7 +51,7 @@
 	report   func() []wire.ServiceReport
 	wake     chan struct{}
 
-	catalog   atomic.Pointer[Snapshot]
+	catalog   atomic.Pointer[catalog.Snapshot]
 	routes    atomic.Pointer[map[string]wire.Route]
 	leases    atomic.Pointer[map[string]lease.Held]
 	confirmed atomic.Pointer[time.Time]
@@ -112,7 +113,7 @@
 func (a *Agent) Boot() string { return a.boot }
 
 // Catalog returns the latest configuration, or nil before the first answer of a leader.
-func (a *Agent) Catalog() *Snapshot { return a.catalog.Load() }
+func (a *Agent) Catalog() *catalog.Snapshot { return a.catalog.Load() }
 
 // Confirmed returns the time since the last renewal that a leader has answered was sent. It is
 // very large before the first.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -270,7 +270,7 @@
 		for _, a := range c.agents {
 			eventually(t, "route and catalog arrive", func() bool {
 				r, ok := a.Route(s)
-				return ok && r.Owner == c.holders(s)[0].Host && a.Catalog() != nil && a.Catalog().Revision == 1
+				return ok && r.Owner == c.holders(s)[0].Host && a.Catalog() != nil && a.Catalog().Revision() == 1
 			})
 		}
 	}
--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -183,7 +184,7 @@
 	if len(reply.Catalog) == 0 {
 		return
 	}
-	c, err := decodeSnapshot(reply.Catalog)
+	c, err := catalog.DecodeSnapshot(reply.Catalog)
 	if err != nil {
 		_ = level.Error(a.Logger).Log("msg", "catalog not accepted", "revision", reply.Revision, "err", err)
 		return
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -85,8 +85,8 @@
 	// maxAuthFrameBytes bounds a frame of a caller that isn't authenticated yet.
 	maxAuthFrameBytes = 8 << 10
 	authBufferBytes   = 512
-	// maxUnconfirmed is the age of the last confirmation above which keyed requests are refused.
-	maxUnconfirmed = 5 * time.Second
+	// MaxUnconfirmed is the age of the last confirmation above which keyed requests are refused.
+	MaxUnconfirmed = 5 * time.Second
 	// batchBytes is the amount of extended requests held before a transaction is opened without
 	// waiting for the Sync.
 	batchBytes = 64 << 10
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -295,7 +295,7 @@
 		return c.send(true, 0, false)
 	}
 	c.batch.remote(pgwire.Sync, pgwire.Relay, "")
-	return c.send(true, 1, false)
+	return c.send(true, 1, true)
 }
 
 func (c *caller) unsynced() bool {
@@ -365,7 +365,7 @@
 		return nil // an open route
 	}
 	age := c.srv.cfg.Directory.Confirmed()
-	if age <= maxUnconfirmed {
+	if age <= MaxUnconfirmed {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
