Bound caller sessions and handle COPY by the extended protocol

Cause: a Sync sent with the Execute of a COPY is ignored by targets, so the relay waited for an answer that never came; prepared statements and portals of a session were unbounded.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -156,9 +156,13 @@
 	case pgwire.CopyData, pgwire.CopyDone, pgwire.CopyFail:
 		return c.copyFrame(f)
 	}
-	if err := c.awaitReady(); err != nil {
+	copying, err := c.awaitReady()
+	if err != nil {
 		return err
 	}
+	if copying {
+		return duringCopy(f)
+	}
 	if c.skip {
 		return c.skipFrame(f)
 	}
@@ -169,22 +173,25 @@
 }
 
 // awaitReady waits until the owner has answered all earlier requests up to their Sync, so that the
-// state of the transaction is known.
-func (c *caller) awaitReady() error {
+// state of the transaction is known. It reports whether the target waits for copy data instead.
+func (c *caller) awaitReady() (copying bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.pending > 0 && !c.dead {
+	for c.pending > 0 && !c.dead && !c.copying() {
 		c.cond.Wait()
 	}
 	if c.dead {
-		return errEnded
+		return false, errEnded
+	}
+	if c.copying() {
+		return true, nil
 	}
 	if c.skipLost {
 		c.skipLost = false
 		c.skip = true
 		c.batch.reset()
 	}
-	return nil
+	return false, nil
 }
 
 func (c *caller) skipFrame(f pgwire.Frame) error {
@@ -195,19 +202,6 @@
 	return c.answer(pgwire.AppendReady(nil, c.status()))
 }
 
-// copyFrame relays a frame of COPY IN. Frames after the end of a failed copy are dropped, as targets
-// do.
-func (c *caller) copyFrame(f pgwire.Frame) error {
-	c.mu.Lock()
-	tx := c.tx
-	running := tx != nil && c.tracker.Len() > 0
-	c.mu.Unlock()
-	if running {
-		tx.write(f)
-	}
-	return nil
-}
-
 func (c *caller) isDead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -90,6 +90,11 @@
 	// batchBytes is the amount of extended requests held before a transaction is opened without
 	// waiting for the Sync.
 	batchBytes = 64 << 10
+	// batchEntries is the number of requests held likewise.
+	batchEntries = 4096
+	// maxOutstanding is the number of requests without a response above which the relay asks the
+	// owner for the responses and waits.
+	maxOutstanding = 1 << 16
 	// outBytes is the amount of responses collected before a write to the caller.
 	outBytes = 16 << 10
 	// relayBufferBytes is the read buffer of one open transaction.
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -2,8 +2,15 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/matryer/is"
@@ -75,3 +82,18 @@
 	}
 	o.snap.team.Keys = keys
 }
+
+// testCertificate returns a self-signed certificate for entry.test.
+func testCertificate(t testing.TB) (tls.Certificate, *x509.CertPool) {
+	is := is.New(t.(is.T))
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	tmpl := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{"entry.test"}, NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, key.Public(), key)
+	is.NoErr(err)
+	leaf, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -92,21 +92,24 @@
 	if !ok {
 		return errMalformed()
 	}
-	p := c.st.Prepare(string(name), sql, tail)
+	p, err := c.st.Prepare(string(name), sql, tail)
+	if err != nil {
+		return c.refuse(err, false)
+	}
 	if p.Statement.Kind == session.Refused {
 		c.st.CloseStatement(string(name))
 		return c.refuse(p.Statement.Err, false)
 	}
 	if c.isLocal(p.Statement) {
 		c.batch.local(pgwire.Parse, pgwire.Append(nil, pgwire.ParseComplete, nil))
-		return nil
+		return c.sendIfLarge()
 	}
 	if c.rolledBack() {
 		return c.refuse(failedTransaction(), false)
 	}
 	if p.Target != "" && c.knows(p) {
 		c.batch.local(pgwire.Parse, pgwire.Append(nil, pgwire.ParseComplete, nil))
-		return nil
+		return c.sendIfLarge()
 	}
 	c.addParse(p, pgwire.Relay)
 	return c.sendIfLarge()
@@ -173,10 +176,12 @@
 	if err != nil {
 		return c.refuse(err, false)
 	}
-	c.st.Bind(string(portal), p)
+	if err := c.st.Bind(string(portal), p); err != nil {
+		return c.refuse(err, false)
+	}
 	if c.isLocal(p.Statement) {
 		c.batch.local(pgwire.Bind, pgwire.Append(nil, pgwire.BindComplete, nil))
-		return nil
+		return c.sendIfLarge()
 	}
 	c.batch.remote(pgwire.Bind, pgwire.Relay, "", portal, []byte{0}, []byte(p.Target), []byte{0}, values)
 	return c.sendIfLarge()
@@ -196,7 +201,7 @@
 	}
 	if c.isLocal(p.Statement) {
 		c.batch.local(pgwire.Describe, describeLocal(p.Statement, true))
-		return nil
+		return c.sendIfLarge()
 	}
 	c.batch.remote(pgwire.Describe, pgwire.Relay, "", []byte{'S'}, []byte(p.Target), []byte{0})
 	return c.sendIfLarge()
@@ -205,7 +210,7 @@
 func (c *caller) describePortal(name string, body []byte) error {
 	if p, ok := c.st.Portal(name); ok && c.isLocal(p.Statement) {
 		c.batch.local(pgwire.Describe, describeLocal(p.Statement, false))
-		return nil
+		return c.sendIfLarge()
 	}
 	if c.rolledBack() {
 		return c.refuse(failedTransaction(), false)
@@ -241,7 +246,7 @@
 			return c.refuse(err, false)
 		}
 		c.batch.local(pgwire.Execute, frames)
-		return nil
+		return c.sendIfLarge()
 	}
 	if c.rolledBack() {
 		return c.refuse(failedTransaction(), false)
@@ -271,11 +276,11 @@
 		return c.sendIfLarge()
 	}
 	c.batch.local(pgwire.Close, pgwire.Append(nil, pgwire.CloseComplete, nil))
-	return nil
+	return c.sendIfLarge()
 }
 
 func (c *caller) sendIfLarge() error {
-	if len(c.batch.frames) < batchBytes {
+	if len(c.batch.frames) < batchBytes && len(c.batch.entries) < batchEntries {
 		return nil
 	}
 	return c.send(false, 0, false)
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -22,6 +22,7 @@
 	open     []string          // those of parsed without a ParseComplete so far
 	unnamed  *session.Prepared // what the unnamed statement of the target connection is
 	unsynced bool              // requests were sent after the last Sync
+	copyIn   bool              // the target waits for the caller's data
 	partial  bool              // a part of the running request's result was relayed
 }
 
@@ -48,6 +49,9 @@
 			return c.refuse(err, simple)
 		}
 	}
+	if c.outstanding()+len(b.entries) > maxOutstanding && c.finishSent() {
+		return nil // the responder has reported the loss
+	}
 	c.mu.Lock()
 	tx := c.tx
 	c.mu.Unlock()
@@ -82,6 +86,12 @@
 	return c.checkConfirmed()
 }
 
+func (c *caller) outstanding() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Len()
+}
+
 func (c *caller) drainLocal() error {
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
@@ -214,7 +224,7 @@
 	tx.write(pgwire.Append(nil, pgwire.Flush, nil))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.tx == tx && c.tracker.Len() > 0 && !c.dead {
+	for c.tx == tx && c.tracker.Len() > 0 && !c.dead && !tx.copyIn {
 		c.cond.Wait()
 	}
 	return c.skipLost || c.dead
@@ -303,9 +313,8 @@
 		tx.failed()
 	case done && request == pgwire.Parse:
 		tx.confirm(name)
-	case f.Type() == pgwire.CopyInResponse && request == pgwire.Execute && c.tracker.DropSync():
-		c.pending--
-		tx.unsynced = true
+	case f.Type() == pgwire.CopyInResponse:
+		c.startCopy(tx, request)
 	}
 	tx.partial = !done && (tx.partial || isResult(f.Type()))
 	if c.tracker.Len() == 0 {
@@ -314,6 +323,16 @@
 	return action == pgwire.Relay, true
 }
 
+// startCopy notes that the target entered copy-in mode, where it ignores a Sync sent before.
+func (c *caller) startCopy(tx *transaction, request byte) {
+	tx.copyIn = true
+	c.cond.Broadcast()
+	if request == pgwire.Execute && c.tracker.DropSync() {
+		c.pending--
+		tx.unsynced = true
+	}
+}
+
 // isResult reports whether a response belongs to a result that can be cut in the middle.
 func isResult(response byte) bool {
 	switch response {
@@ -331,6 +350,7 @@
 	}
 	t.open = nil
 	t.unnamed = nil
+	t.copyIn = false
 }
 
 func (t *transaction) confirm(name string) {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -4,6 +4,7 @@
 package session
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/base64"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/statechart"
+	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -45,7 +47,6 @@
 
 // Prepared is a prepared statement of a caller.
 type Prepared struct {
-	SQL       string
 	Target    string // unique name at targets; empty for the unnamed statement
 	ParseTail []byte // SQL and parameter types as in the body of a Parse message
 	Statement Statement
@@ -57,6 +58,7 @@
 	machine  *statechart.Machine
 	prepared map[string]*Prepared
 	portals  map[string]*Prepared
+	held     int // bytes of prepared
 
 	read       ReadChoice
 	timeout    time.Duration
@@ -81,11 +83,24 @@
 // State returns the chart's current state.
 func (s *Session) State() string { return s.machine.State() }
 
+// Limits of one session. They keep a caller from filling the host's memory.
+const (
+	MaxPrepared      = 10000    // statements
+	MaxPreparedBytes = 32 << 20 // text of all statements
+	MaxPortals       = 10000    // within one transaction
+)
+
+const codeLimit = "54000" // program_limit_exceeded
+
 // Prepare records a prepared statement; name is empty for the unnamed one. Tail is the body of the
-// Parse message after the name; it is copied.
-func (s *Session) Prepare(name string, sql, tail []byte) *Prepared {
-	p := &Prepared{SQL: string(sql), ParseTail: append([]byte(nil), tail...)}
-	p.Statement = Classify(p.SQL)
+// Parse message after the name; it is copied. The error has SQLSTATE 54000 when the session holds
+// too many statements.
+func (s *Session) Prepare(name string, sql, tail []byte) (*Prepared, error) {
+	s.CloseStatement(name)
+	if len(s.prepared) >= MaxPrepared || s.held+len(tail) > MaxPreparedBytes {
+		return nil, verdict.New(verdict.NotRun, codeLimit, "too many prepared statements in this session")
+	}
+	p := &Prepared{ParseTail: bytes.Clone(tail), Statement: Classify(string(sql))}
 	if name != "" {
 		p.Target = TargetName(tail)
 	}
@@ -93,7 +108,8 @@
 		s.prepared = map[string]*Prepared{}
 	}
 	s.prepared[name] = p
-	return p
+	s.held += len(tail)
+	return p, nil
 }
 
 // TargetName returns the name at targets of a statement with the given SQL and parameter types.
@@ -110,14 +126,24 @@
 }
 
 // CloseStatement forgets a prepared statement.
-func (s *Session) CloseStatement(name string) { delete(s.prepared, name) }
+func (s *Session) CloseStatement(name string) {
+	if p, ok := s.prepared[name]; ok {
+		s.held -= len(p.ParseTail)
+		delete(s.prepared, name)
+	}
+}
 
-// Bind records the statement of a portal.
-func (s *Session) Bind(portal string, p *Prepared) {
+// Bind records the statement of a portal. The error has SQLSTATE 54000 when the transaction has too
+// many portals.
+func (s *Session) Bind(portal string, p *Prepared) error {
+	if len(s.portals) >= MaxPortals {
+		return verdict.New(verdict.NotRun, codeLimit, "too many portals in this transaction")
+	}
 	if s.portals == nil {
 		s.portals = map[string]*Prepared{}
 	}
 	s.portals[portal] = p
+	return nil
 }
 
 // Portal returns the statement of a portal.
