Probe for a new owner with one caller per service

Cause: during a change of owner every waiting caller spent retries, so the retry budget ran out within a fraction of a second and callers were refused. Change: of the callers refused with 57P03 one probes at a time; the others wait until it is admitted.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -99,7 +99,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.draining && !c.dead && errors.Is(err, context.DeadlineExceeded) || isTimeout(err) && c.draining && !c.dead {
+	if c.draining && !c.dead && isTimeout(err) {
 		return verdict.New(verdict.NotRun, verdict.CodeShutdown, "the host is shutting down")
 	}
 	return err
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -57,7 +57,7 @@
 	Metrics    *metrics.Set // nil: a new set
 
 	MaxConnections   int           // callers
-	MaxFrameBytes    int           // one frame of a caller or an owner
+	MaxFrameBytes    int           // one frame of a caller
 	AuthTimeout      time.Duration // from accept to the end of authentication
 	WriteTimeout     time.Duration // one write to a caller
 	StatementTimeout time.Duration // time to start running, unless citron.timeout says otherwise
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
 
 	"github.com/citronrun/citronrun/internal/verdict"
 )
@@ -98,3 +100,48 @@
 	_, err = conn.Exec(bg, "insert x") // the session goes on
 	fx.NoErr(err)
 }
+
+// Guards against callers that are forgotten while they wait for a change of owner.
+func TestOwnerChangeServesAllWaiters(t *testing.T) {
+	fx := start(t, nil)
+	const callers = 50
+	noOwner := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no owner")
+	for range callers + 10 { // the first attempts, then ten probes
+		fx.owner.refuse = append(fx.owner.refuse, noOwner)
+	}
+	var wg sync.WaitGroup
+	for range callers {
+		conn := fx.connect()
+		wg.Go(func() {
+			_, err := conn.Exec(bg, "insert x")
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	fx.Equal(fx.owner.writes.Load(), int64(callers))
+	fx.Equal(len(fx.owner.requests), 2*callers+10)
+	fx.Equal(len(fx.srv.outages.byService), 0)
+}
+
+// Guards against a change of owner that uses up the retry budget: while one caller probes, the others
+// must not send retries of their own.
+func TestOutageHasOneProbe(t *testing.T) {
+	is := is.New(t)
+	o := newOutages()
+	wait := func(ctx context.Context) func(bool) { return o.wait(ctx, "s", 0, verdict.CodeUnavailable) }
+	ended, stop := context.WithCancel(bg)
+	stop()
+	first := wait(bg)
+	is.True(wait(ended) == nil) // the probe is taken
+	first(false)
+	second := wait(bg)
+	is.True(second != nil)
+	is.True(wait(ended) == nil)
+	released := make(chan func(bool))
+	go func() { released <- wait(bg) }()
+	second(true)
+	(<-released)(true)
+	is.Equal(len(o.byService), 0)
+}
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -44,7 +44,7 @@
 }
 
 func (c *caller) executeSet(st session.Statement) ([]byte, error) {
-	if c.rolledBack() {
+	if c.status() == pgwire.TxFailed {
 		return nil, failedTransaction()
 	}
 	if used, ok := c.usedParameter(st.Name); ok && !strings.HasPrefix(st.Name, "citron.") {
@@ -64,7 +64,7 @@
 }
 
 func (c *caller) executeShow(st session.Statement, simple bool) ([]byte, error) {
-	if c.rolledBack() {
+	if c.status() == pgwire.TxFailed {
 		return nil, failedTransaction()
 	}
 	c.mu.Lock()
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -16,7 +16,7 @@
 	retryShare = 0.1
 	// retryReserve is the number of retries that can be saved up. It covers the callers of a small
 	// host during one change of owner.
-	retryReserve = 200
+	retryReserve = 500
 )
 
 // retryBudget bounds retries to a share of first attempts, so that retries can't multiply the load
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -26,6 +26,7 @@
 	cfg     Config
 	auth    *auth.Authenticator
 	budget  *retryBudget
+	outages *outages
 	metrics *serverMetrics
 	logger  log.Logger
 	ctx     context.Context // ends when callers are cut
@@ -52,6 +53,7 @@
 		cfg:       cfg.withDefaults(),
 		auth:      auth.New(),
 		budget:    newRetryBudget(),
+		outages:   newOutages(),
 		listeners: map[net.Listener]struct{}{},
 		conns:     map[net.Conn]struct{}{},
 		callers:   map[uint32]*caller{},
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +11,6 @@
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/session"
 	"github.com/citronrun/citronrun/internal/verdict"
-	"github.com/citronrun/citronrun/internal/wire"
 )
 
 // transaction is a stream to the owner. Its fields other than stream belong to caller.mu.
@@ -127,59 +127,13 @@
 	}
 }
 
-// begin opens a transaction with the batch's frames. It retries refusals that promise that nothing
-// ran, within the retry budget.
-func (c *caller) begin(complete bool) (*transaction, error) {
-	b := &c.batch
-	rule := c.srv.cfg.Directory.Catalog().Rule(c.team, c.service)
-	c.mu.Lock()
-	req := c.st.Request(rule, b.readOnly(complete), b.block)
-	c.mu.Unlock()
-	req.Team, req.KeyID, req.Session, req.Place = c.team, c.keyID, c.sessionID, c.srv.cfg.Place
-	timeout := c.st.Timeout(c.srv.cfg.StatementTimeout)
-	deadline := time.Now().Add(timeout)
-	lastRetry := time.Now().Add(min(timeout, c.srv.cfg.RetryTimeout))
-	c.srv.budget.attempt()
-	for n := 0; ; n++ {
-		req.Timeout = time.Until(deadline)
-		tx, err := c.tryBegin(req, b.frames)
-		if err == nil {
-			if req.RequestKey != "" {
-				c.st.UseRequestKey()
-			}
-			return tx, nil
-		}
-		wait := backoff(n)
-		if !retryable(verdict.As(err)) || time.Now().Add(wait).After(lastRetry) || !c.srv.budget.take() {
-			return nil, err
-		}
-		c.srv.metrics.retries.Inc()
-		if !pause(c.ctx, wait) {
-			return nil, err
-		}
-	}
-}
-
-func (c *caller) tryBegin(req wire.TxRequest, frames []byte) (*transaction, error) {
-	ctx, cancel := context.WithCancel(c.ctx)
-	timer := time.AfterFunc(req.Timeout+beginGrace, cancel)
-	stream, err := c.srv.cfg.Transactor.Begin(ctx, req, frames)
-	if err != nil {
-		timer.Stop()
-		cancel()
-		return nil, err
-	}
-	timer.Stop() // if it has fired, the stream is broken and the responder says so
-	return &transaction{seq: req.Seq, stream: stream, cancel: cancel, parsed: map[string]bool{}}, nil
-}
-
 // abort gives up the open transaction, which rolls it back.
 func (c *caller) abort(event string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	actions := c.fire(event)
 	tx := c.tx
-	c.fire(event)
-	if tx == nil {
+	if tx == nil || !slices.Contains(actions, session.ActionAbort) {
 		return
 	}
 	c.tx = nil
