--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +11,6 @@
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/session"
 	"github.com/citronrun/citronrun/internal/verdict"
-	"github.com/citronrun/citronrun/internal/wire"
 )
 
 // transaction is a stream to the owner. Its fields other than stream belong to caller.mu.
@@ -22,6 +22,7 @@
 	open     []string          // those of parsed without a ParseComplete so far
 	unnamed  *session.Prepared // what the unnamed statement of the target connection is
 	unsynced bool              // requests were sent after the last Sync
+	copyIn   bool              // the target waits for the caller's data
 	partial  bool              // a part of the running request's result was relayed
 }
 
@@ -48,6 +49,9 @@
 			return c.refuse(err, simple)
 		}
 	}
+	if c.outstanding()+len(b.entries) > maxOutstanding && c.finishSent() {
+		return nil // the responder has reported the loss
+	}
 	c.mu.Lock()
 	tx := c.tx
 	c.mu.Unlock()
@@ -82,6 +86,12 @@
 	return c.checkConfirmed()
 }
 
+func (c *caller) outstanding() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Len()
+}
+
 func (c *caller) drainLocal() error {
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
@@ -117,59 +127,13 @@
 	}
 }
 
-// begin opens a transaction with the batch's frames. It retries refusals that promise that nothing
-// ran, within the retry budget.
-func (c *caller) begin(complete bool) (*transaction, error) {
-	b := &c.batch
-	rule := c.srv.cfg.Directory.Catalog().Rule(c.team, c.service)
-	c.mu.Lock()
-	req := c.st.Request(rule, b.readOnly(complete), b.block)
-	c.mu.Unlock()
-	req.Team, req.KeyID, req.Session, req.Place = c.team, c.keyID, c.sessionID, c.srv.cfg.Place
-	timeout := c.st.Timeout(c.srv.cfg.StatementTimeout)
-	deadline := time.Now().Add(timeout)
-	lastRetry := time.Now().Add(min(timeout, c.srv.cfg.RetryTimeout))
-	c.srv.budget.attempt()
-	for n := 0; ; n++ {
-		req.Timeout = time.Until(deadline)
-		tx, err := c.tryBegin(req, b.frames)
-		if err == nil {
-			if req.RequestKey != "" {
-				c.st.UseRequestKey()
-			}
-			return tx, nil
-		}
-		wait := backoff(n)
-		if !retryable(verdict.As(err)) || time.Now().Add(wait).After(lastRetry) || !c.srv.budget.take() {
-			return nil, err
-		}
-		c.srv.metrics.retries.Inc()
-		if !pause(c.ctx, wait) {
-			return nil, err
-		}
-	}
-}
-
-func (c *caller) tryBegin(req wire.TxRequest, frames []byte) (*transaction, error) {
-	ctx, cancel := context.WithCancel(c.ctx)
-	timer := time.AfterFunc(req.Timeout+beginGrace, cancel)
-	stream, err := c.srv.cfg.Transactor.Begin(ctx, req, frames)
-	if err != nil {
-		timer.Stop()
-		cancel()
-		return nil, err
-	}
-	timer.Stop() // if it has fired, the stream is broken and the responder says so
-	return &transaction{seq: req.Seq, stream: stream, cancel: cancel, parsed: map[string]bool{}}, nil
-}
-
 // abort gives up the open transaction, which rolls it back.
 func (c *caller) abort(event string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	actions := c.fire(event)
 	tx := c.tx
-	c.fire(event)
-	if tx == nil {
+	if tx == nil || !slices.Contains(actions, session.ActionAbort) {
 		return
 	}
 	c.tx = nil
@@ -214,7 +178,7 @@
 	tx.write(pgwire.Append(nil, pgwire.Flush, nil))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.tx == tx && c.tracker.Len() > 0 && !c.dead {
+	for c.tx == tx && c.tracker.Len() > 0 && !c.dead && !tx.copyIn {
 		c.cond.Wait()
 	}
 	return c.skipLost || c.dead
@@ -303,9 +267,8 @@
 		tx.failed()
 	case done && request == pgwire.Parse:
 		tx.confirm(name)
-	case f.Type() == pgwire.CopyInResponse && request == pgwire.Execute && c.tracker.DropSync():
-		c.pending--
-		tx.unsynced = true
+	case f.Type() == pgwire.CopyInResponse:
+		c.startCopy(tx, request)
 	}
 	tx.partial = !done && (tx.partial || isResult(f.Type()))
 	if c.tracker.Len() == 0 {
@@ -314,6 +277,16 @@
 	return action == pgwire.Relay, true
 }
 
+// startCopy notes that the target entered copy-in mode, where it ignores a Sync sent before.
+func (c *caller) startCopy(tx *transaction, request byte) {
+	tx.copyIn = true
+	c.cond.Broadcast()
+	if request == pgwire.Execute && c.tracker.DropSync() {
+		c.pending--
+		tx.unsynced = true
+	}
+}
+
 // isResult reports whether a response belongs to a result that can be cut in the middle.
 func isResult(response byte) bool {
 	switch response {
@@ -331,6 +304,7 @@
 	}
 	t.open = nil
 	t.unnamed = nil
+	t.copyIn = false
 }
 
 func (t *transaction) confirm(name string) {
