Fix a statement that the pool believed to exist

Cause: a statement parsed, closed and parsed again ahead of the answers was marked as existing by the answer to its first Parse. When the second one was skipped after an error, a later Bind failed with 26000. Change: each Parse has a number, and only the answer to the last one counts; a deterministic case is in TestStatementsAfterError. The Tracker compacts its queue, which grew without bound under requests that never pause. Conn.Send gives back large buffers. Conclusion: the relay keeps the right view of statements under pipelining.

--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -73,3 +74,19 @@
 	is.True(done)
 	is.Equal(tr.Len(), 0)
 }
+
+// Guards against a queue that grows as long as requests are always in flight, and against one that
+// loses its order when it is compacted.
+func TestTrackerStaysSmall(t *testing.T) {
+	var tr Tracker
+	tr.Push(Sync, Relay, "0")
+	for i := range 10_000 {
+		tr.Push(Sync, Relay, strconv.Itoa(i+1))
+		if _, _, name, done := tr.Done(ReadyForQuery); !done || name != strconv.Itoa(i) {
+			t.Fatalf("request %d: got %q, done %v", i, name, done)
+		}
+	}
+	if n := cap(tr.queue); n > 4*compactAfter {
+		t.Fatalf("the queue holds %d entries for 1 request", n)
+	}
+}
--- a/internal/pgwire/tracker.go
+++ b/internal/pgwire/tracker.go
@@ -23,6 +23,10 @@
 	head  int
 }
 
+// compactAfter is the number of answered requests at which the queue is moved to the start of its
+// memory. A caller that always has requests in flight would otherwise let it grow without bound.
+const compactAfter = 64
+
 type pending struct {
 	request byte
 	action  Action
@@ -35,6 +39,10 @@
 	if t.head > 0 && t.head == len(t.queue) {
 		t.queue, t.head = t.queue[:0], 0
 	}
+	if t.head >= compactAfter && 2*t.head >= len(t.queue) {
+		n := copy(t.queue, t.queue[t.head:])
+		t.queue, t.head = t.queue[:n], 0
+	}
 	t.queue = append(t.queue, pending{request, action, name})
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -189,6 +189,12 @@
 	send(t, c, useOf("s1", "SELECT 1")...) // sent after the error was read
 	is.Equal(read(t, c, pgwire.ReadyForQuery), "Z")
 	is.True(!c.Pending())
+	// The first Parse succeeds and is closed, the second one is skipped.
+	send(t, c, &pgproto3.Parse{Name: "s2", Query: "SELECT 2"}, &pgproto3.Close{ObjectType: 'S', Name: "s2"},
+		&pgproto3.Parse{Query: "SELEC"}, &pgproto3.Parse{Name: "s2", Query: "SELECT 2"}, &pgproto3.Sync{})
+	is.Equal(read(t, c, pgwire.ReadyForQuery), "13EZ")
+	send(t, c, useOf("s2", "SELECT 2")...)
+	is.Equal(read(t, c, pgwire.ReadyForQuery), "12DCZ")
 	p.Put(c)
 	is.Equal(p.Stats().Idle, 1)
 }
--- a/internal/pool/relay.go
+++ b/internal/pool/relay.go
@@ -13,6 +13,9 @@
 // absentStatement is the name of a statement that never exists. Closing it makes the target answer.
 const absentStatement = "citronrun_none"
 
+// keptSendBytes bounds the buffer that an idle connection keeps for Send.
+const keptSendBytes = 64 << 10
+
 var parseComplete = pgwire.Frame(pgwire.Append(nil, pgwire.ParseComplete, nil))
 
 // Send writes whole frames of a caller, any number. A Parse of a named statement that this
@@ -29,7 +32,11 @@
 	if len(out) == 0 {
 		return nil
 	}
-	if _, err := c.net.Write(out); err != nil {
+	_, err = c.net.Write(out)
+	if cap(c.out) > keptSendBytes {
+		c.out = nil
+	}
+	if err != nil {
 		return c.fail("send to target", err)
 	}
 	return nil
@@ -246,7 +253,7 @@
 	case f.Type() == pgwire.CopyInResponse && request == pgwire.Execute:
 		c.copyIn()
 	case done && request == pgwire.Parse && name != "":
-		c.statements.parsed(name, c.ready)
+		c.statements.parsed()
 	case f.Type() == pgwire.ReadyForQuery:
 		c.readyForQuery(f)
 	}
--- a/internal/pool/relay_test.go
+++ b/internal/pool/relay_test.go
@@ -20,6 +20,7 @@
 	_, p, ctx := setup(t, standin.Config{}, Config{MaxConns: 1})
 	rapid.Check(t, func(rt *rapid.T) {
 		c := get(t, p, ctx)
+		defer p.Put(c)
 		var chunks [][]byte
 		var want strings.Builder
 		batches := rapid.IntRange(1, 6).Draw(rt, "batches")
@@ -52,7 +53,6 @@
 		if c.Pending() {
 			rt.Fatal("requests are pending")
 		}
-		p.Put(c)
 	})
 	if n := p.Stats().Connects; n != 1 {
 		t.Fatalf("%d connects: a clean connection wasn't reused", n)
--- a/internal/pool/statements.go
+++ b/internal/pool/statements.go
@@ -10,17 +10,27 @@
 // doesn't exist is no error.
 type statements struct {
 	byName  map[string]*statement
-	evicted []evicted // closes that may still be skipped
+	sent    []sentParse // Parse requests without a response, in order
+	evicted []evicted   // closes that may still be skipped
 	uses    uint64
 }
 
 type statement struct {
 	state    state
-	batch    uint64 // batch of the Parse
+	batch    uint64 // batch of the last Parse
+	parse    uint64 // number of the last Parse
 	used     uint64 // order of use
 	checkout uint64 // transaction of the last use
 }
 
+// sentParse identifies a Parse. A name alone doesn't: a statement may be parsed, closed and parsed
+// again before the first response arrives.
+type sentParse struct {
+	name   string
+	number uint64
+	batch  uint64
+}
+
 type evicted struct {
 	name  string
 	batch uint64
@@ -62,13 +72,19 @@
 		s.byName[name] = st
 	}
 	s.uses++
-	*st = statement{state: parsing, batch: batch, used: s.uses, checkout: checkout}
+	*st = statement{state: parsing, batch: batch, parse: s.uses, used: s.uses, checkout: checkout}
+	s.sent = append(s.sent, sentParse{name, s.uses, batch})
 	return closeFirst
 }
 
-// parsed records a ParseComplete.
-func (s *statements) parsed(name string, batch uint64) {
-	if st := s.byName[name]; st != nil && st.state == parsing && st.batch == batch {
+// parsed records the ParseComplete of the oldest Parse of a named statement.
+func (s *statements) parsed() {
+	if len(s.sent) == 0 {
+		return
+	}
+	p := s.sent[0]
+	s.sent = s.sent[1:]
+	if st := s.byName[p.name]; st != nil && st.state == parsing && st.parse == p.number {
 		st.state = known
 	}
 }
@@ -101,6 +117,9 @@
 
 // failed records that the rest of a batch was skipped.
 func (s *statements) failed(batch uint64) {
+	for len(s.sent) > 0 && s.sent[0].batch <= batch {
+		s.sent = s.sent[1:]
+	}
 	for _, st := range s.byName {
 		if st.state == parsing && st.batch == batch {
 			st.state = doubtful
--- /dev/null
+++ b/internal/standin/faults_test.go
@@ -0,0 +1,121 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// Guards against a capacity that doesn't follow from slots and service time.
+func TestSlotsBoundThroughput(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	const service, statements, slots = 10 * time.Millisecond, 10, 2
+	s := startServer(t, Config{Slots: slots, ServiceTime: service})
+	conns := make([]*pgx.Conn, statements)
+	for i := range conns {
+		conns[i] = connect(t, s)
+	}
+	start := time.Now()
+	var g errgroup.Group
+	for _, c := range conns {
+		g.Go(func() error { _, err := c.Exec(ctx, "SELECT 1"); return err })
+	}
+	is.NoErr(g.Wait())
+	is.True(time.Since(start) >= service*statements/slots)
+	is.Equal(s.Executed(), uint64(statements))
+}
+
+// Guards against an isolated primary that stops replication, or that loses what callers sent.
+func TestIsolateAndDelay(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t)
+	c, replica := connect(t, g.Servers[0]), connect(t, g.Servers[1])
+	g.Servers[1].SetLag(50*time.Millisecond, 0)
+	start := time.Now()
+	_, err := c.Exec(ctx, "INSERT INTO booking VALUES ('a', 'b', 'c')")
+	is.NoErr(err)
+	g.Servers[0].Isolate(true)
+	done := make(chan error, 1)
+	go func() { _, err := c.Exec(ctx, "INSERT INTO booking VALUES ('z', 'b', 'c')"); done <- err }()
+	eventually(t, "the replica gets the first row", func() bool { return count(t, replica, "booking") == 1 })
+	is.True(time.Since(start) >= 50*time.Millisecond)
+	select {
+	case err := <-done:
+		t.Fatalf("an isolated target answered: %v", err)
+	default:
+	}
+	g.Servers[0].Isolate(false)
+	is.NoErr(<-done)
+	g.Servers[0].SetAnswerDelay(20 * time.Millisecond)
+	start = time.Now()
+	is.Equal(count(t, c, "booking"), 2)
+	is.True(time.Since(start) >= 20*time.Millisecond)
+}
+
+// Guards against a transaction of a former primary that commits in the next term, and against a
+// replica that reads from a log that wasn't compared yet.
+func TestDemotedPrimary(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t)
+	old, next := g.Servers[0], g.Servers[1]
+	c := connect(t, old)
+	_, err := c.Exec(ctx, "BEGIN; INSERT INTO booking VALUES ('a', 'b', 'c')")
+	is.NoErr(err)
+	is.NoErr(controlOf(t, next).Promote(ctx, 2))
+	g.CutReplication(next, old, true)
+	is.NoErr(controlOf(t, old).Follow(ctx, 2, next.Addr()))
+	_, err = c.Exec(ctx, "COMMIT")
+	is.Equal(code(err), "57P03")
+	_, err = c.Exec(ctx, "SELECT * FROM booking")
+	is.Equal(code(err), "57P03")
+	g.CutReplication(next, old, false)
+	eventually(t, "the logs are compared", func() bool { _, err := c.Exec(ctx, "SELECT 1"); return err == nil })
+	is.Equal(old.Role(), "replica")
+	is.Equal(count(t, c, "booking"), 0)
+	is.NoErr(controlOf(t, old).Promote(ctx, 3))
+	is.Equal(g.Primary(), old)
+}
+
+// Guards against announcements that stop after a failure, or that don't say that the target leaves.
+func TestAnnouncer(t *testing.T) {
+	is := is.New(t)
+	got := make(chan wire.Announce, 100)
+	hosts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var m wire.Announce
+		if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		got <- m
+	}))
+	defer hosts.Close()
+	m := wire.Announce{Target: "db1", Service: "rota", Addr: "127.0.0.1:5432", Place: "Bangor"}
+	a := NewAnnouncer(m, hosts.URL+"/v1/announce", "http://127.0.0.1:1/v1/announce")
+	defer a.Close()
+	is.Equal(<-got, m)
+	is.True(a.Leave(context.Background()) != nil) // the second host can't be reached
+	m.Leaving = true
+	for seen := 0; seen < 2; { // of Leave, and of the next round
+		select {
+		case next := <-got:
+			if next.Leaving {
+				is.Equal(next, m)
+				seen++
+			}
+		case <-testContext(t).Done():
+			t.Fatal("no announcement that the target leaves")
+		}
+	}
+}
