--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,7 +70,7 @@
 	progress      chan struct{} // closed and replaced after each answer to a renewal
 }
 
-// New returns an agent and registers its handler for probes at the transport endpoint, which must
+// New returns an agent and registers its handlers for probes and pokes at the transport endpoint, which must
 // not serve yet.
 func New(c Config) *Agent {
 	c.Logger = log.With(c.Logger, "component", "agent")
@@ -92,6 +92,7 @@
 	a.routes.Store(&map[string]wire.Route{})
 	a.leases.Store(&map[string]lease.Held{})
 	c.Transport.Handle(wire.KindProbe, a.serveProbe)
+	c.Transport.Handle(wire.KindPoke, func(context.Context, string, transport.Stream) { a.Poke() })
 	return a
 }
 
--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -221,6 +221,10 @@
 		if known := a.grants[g.Service]; known.Epoch == g.Epoch && g.Term < known.Term {
 			continue
 		}
+		if a.draining && (!had || old.Epoch < g.Epoch) {
+			a.giveBack(g.Service, g.Epoch)
+			continue
+		}
 		if !a.holder.Grant(sent, reply.LeaseTTL, g.Service, g.Epoch) {
 			a.repeatReturn(g)
 			continue
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -135,13 +135,39 @@
 	infos := make([]wire.TargetInfo, 0, len(s.Members))
 	for name, member := range s.Members {
 		info := wire.TargetInfo{Target: name, Addr: member.Addr, Place: member.Place, Labels: labels(name)}
-		if a, ok := l.targets[name]; ok {
-			info.Leaving = a.Leaving || now.After(a.until)
-		} else {
-			info.Leaving = now.Sub(l.since) > announceTTL
-		}
+		info.Leaving = l.leaving(now, name)
 		infos = append(infos, info)
 	}
 	slices.SortFunc(infos, func(a, b wire.TargetInfo) int { return cmp.Compare(a.Target, b.Target) })
 	return infos
 }
+
+// leaving reports whether a target is leaving or its announcement has lapsed.
+func (l *leader) leaving(now time.Time, target string) bool {
+	if a, ok := l.targets[target]; ok {
+		return a.Leaving || now.After(a.until)
+	}
+	return now.Sub(l.since) > announceTTL
+}
+
+// successor returns the target that should replace a primary that is leaving: of those that stay
+// and answer the one that has received the most. It returns "" when there is nothing to do.
+func (l *leader) successor(now time.Time, state Service, sv *service) string {
+	if state.Primary == "" || sv.report == nil || sv.reportOf != state.Owner || !l.leaving(now, state.Primary) {
+		return ""
+	}
+	var best *wire.TargetReport
+	for i := range sv.report.Targets {
+		t := &sv.report.Targets[i]
+		if t.Target == state.Primary || t.Silent >= failover.Detection || l.leaving(now, t.Target) {
+			continue
+		}
+		if best == nil || t.Received.Compare(best.Received) > 0 {
+			best = t
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Target
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -21,6 +21,7 @@
 	confirmTimeout = 500 * time.Millisecond
 	proposeTimeout = 2 * time.Second
 	barrierTimeout = 3 * time.Second
+	pokeTimeout    = 500 * time.Millisecond
 	announceTTL    = 3 * time.Second
 )
 
@@ -44,13 +45,19 @@
 	Status() any // for the JSON status
 }
 
+// Transport is what a Server needs of transport.Endpoint.
+type Transport interface {
+	Handle(kind wire.Kind, h func(ctx context.Context, peer string, s transport.Stream))
+	Call(ctx context.Context, addr string, kind wire.Kind, req, resp any) error
+}
+
 // Config holds what a Server works with. All fields but Members and Limits are required.
 type Config struct {
 	Name      string // host name of this control host
 	Machine   *Machine
 	Log       Log
 	Members   Members
-	Transport *transport.Endpoint
+	Transport Transport
 	Clock     clock.Clock
 	Logger    log.Logger
 	// Limits returns the rate in tokens/s and burst in tokens of a team. Without it every team has
@@ -65,6 +72,7 @@
 
 	mu     sync.Mutex
 	lead   *leader // nil: this member doesn't lead
+	closed bool
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -115,8 +123,7 @@
 
 // Run leads whenever the log says so, until ctx ends. It returns nil.
 func (s *Server) Run(ctx context.Context) error {
-	defer s.work.Wait()
-	defer s.cancel()
+	defer s.close()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -130,6 +137,23 @@
 	}
 }
 
+// close ends leadership and waits for work in the background.
+func (s *Server) close() {
+	s.mu.Lock()
+	s.lead = nil
+	s.closed = true
+	s.mu.Unlock()
+	s.cancel()
+	s.work.Wait()
+}
+
+// background runs f in a goroutine unless the server is closed. Server.mu is held.
+func (s *Server) background(f func()) {
+	if !s.closed {
+		s.work.Go(f)
+	}
+}
+
 // follow starts and ends leadership as the log does.
 func (s *Server) follow() {
 	since, term, ok := s.Log.Leading()
@@ -144,7 +168,7 @@
 	}
 	lead := newLeader(since, term)
 	s.lead = lead
-	s.work.Go(func() { s.takeOver(lead) })
+	s.background(func() { s.takeOver(lead) })
 }
 
 // takeOver commits the barrier. Once it is applied, the machine holds everything that earlier
--- a/internal/control/steps.go
+++ b/internal/control/steps.go
@@ -18,29 +18,43 @@
 	if s.lead == nil || !s.lead.ready {
 		return
 	}
+	moving := s.lead.moving()
 	for _, name := range s.Machine.Names() {
-		s.step(s.lead, now, name)
+		moving = s.stepWith(s.lead, now, name, moving)
 	}
 }
 
 // step takes the failover decisions of one service. Server.mu is held.
 func (s *Server) step(lead *leader, now time.Time, name string) {
+	s.stepWith(lead, now, name, lead.moving())
+}
+
+// stepWith is step with the knowledge whether any service is changing its owner, which it updates.
+func (s *Server) stepWith(lead *leader, now time.Time, name string, moving bool) bool {
 	state := s.Machine.Service(name)
 	sv := lead.service(now, name, state)
 	if sv.busy {
-		return
+		return moving
+	}
+	if target := lead.successor(now, state, sv); target != "" {
+		sv.machine.Promote(now, target)
 	}
 	before := sv.machine.Phase()
-	actions := sv.machine.Step(s.input(lead, now, name, state, sv))
-	if after := sv.machine.Phase(); after != before {
+	actions := sv.machine.Step(s.input(lead, now, name, state, sv, moving))
+	after := sv.machine.Phase()
+	if after != before {
 		_ = level.Info(s.Logger).Log("msg", "service changed phase", "service", name, "phase", after, "epoch", state.Owner.Epoch, "term", state.Term)
 	}
+	if after == failover.Releasing && before != after {
+		s.poke(lead, state.Owner.Host)
+	}
 	for _, a := range actions {
 		s.act(lead, now, name, state, sv, a)
 	}
+	return moving || sv.busy || after == failover.Releasing
 }
 
-func (s *Server) input(lead *leader, now time.Time, name string, state Service, sv *service) failover.Input {
+func (s *Server) input(lead *leader, now time.Time, name string, state Service, sv *service, moving bool) failover.Input {
 	in := failover.Input{
 		Now:          now,
 		Record:       recordOf(state),
@@ -48,7 +62,7 @@
 		Hosts:        lead.alive(s.Machine, now),
 		Databases:    s.Machine.Catalog().Catalog.Services[name].Databases,
 		Places:       make(map[string]string, len(state.Members)),
-		MayRebalance: !lead.moving(),
+		MayRebalance: !moving,
 	}
 	if sv.report != nil && sv.reportOf == state.Owner {
 		in.Report = sv.report
@@ -79,11 +93,11 @@
 	case failover.Elect:
 		s.commit(lead, name, sv, command{Elect: &elect{
 			Leader: lead.term, Service: name, Epoch: state.Owner.Epoch, Term: a.Term, Prefer: a.Target,
-		}}, func() {})
+		}}, func() { s.poke(lead, state.Owner.Host) })
 	case failover.RecordPrimary:
 		s.commit(lead, name, sv, command{Record: &record{
 			Leader: lead.term, Service: name, Epoch: state.Owner.Epoch, Term: a.Term, Primary: a.Target,
-		}}, func() {})
+		}}, func() { s.poke(lead, state.Owner.Host) })
 	}
 }
 
@@ -104,6 +118,7 @@
 	s.commit(lead, name, sv, command{Assign: c}, func() {
 		if after := s.Machine.Service(name); after.Owner.Epoch == c.From+1 {
 			lead.table.Assigned(s.Clock.Now(), name, after.Owner)
+			s.poke(lead, after.Owner.Host)
 		}
 	})
 }
@@ -112,7 +127,7 @@
 // success. Server.mu is held.
 func (s *Server) commit(lead *leader, name string, sv *service, c command, done func()) {
 	sv.busy = true
-	s.work.Go(func() {
+	s.background(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
 		err := s.propose(ctx, c)
 		cancel()
@@ -139,7 +154,7 @@
 	}
 	req := wire.Probe{Target: a.Target, Addr: state.Members[a.Target].Addr}
 	addr := h.addr
-	s.work.Go(func() {
+	s.background(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, failover.SecondOpinion)
 		defer cancel()
 		var reply wire.ProbeReply
@@ -155,3 +170,20 @@
 		}
 	})
 }
+
+// poke asks a host in the background to renew at once, so that it learns of a change of its leases
+// without waiting for its next renewal. A lost poke only costs that time.
+func (s *Server) poke(lead *leader, name string) {
+	h := lead.hosts[name]
+	if h == nil {
+		return
+	}
+	addr := h.addr
+	s.background(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, pokeTimeout)
+		defer cancel()
+		if err := s.Transport.Call(ctx, addr, wire.KindPoke, wire.Poke{}, nil); err != nil {
+			_ = level.Debug(s.Logger).Log("msg", "poke failed", "host", name, "err", err)
+		}
+	})
+}
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -123,10 +123,25 @@
 		if err != nil {
 			return fmt.Errorf("accept connection: %w", err)
 		}
+		e.adopt(conn)
 		go e.serveConn(conn)
 	}
 }
 
+// adopt lets Open use an accepted connection, unless there is one to this address already. A peer
+// dials from the socket on which it listens, so that its address is known.
+func (e *Endpoint) adopt(conn *quic.Conn) {
+	addr := conn.RemoteAddr().String()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d := e.dials[addr]; e.closed || d != nil && d.usable() {
+		return
+	}
+	d := &dial{done: make(chan struct{}), conn: conn, cancel: func() {}}
+	close(d.done)
+	e.dials[addr] = d
+}
+
 // Close closes all connections and the socket, and waits for the handlers to return.
 func (e *Endpoint) Close() error {
 	e.mu.Lock()
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -26,7 +26,12 @@
 	// standard check of the dialed name doesn't apply. VerifyConnection checks the chain instead.
 	client.InsecureSkipVerify = true
 	roots := conf.RootCAs
-	client.VerifyConnection = func(state tls.ConnectionState) error { return verifyServer(state, roots) }
+	client.VerifyConnection = func(state tls.ConnectionState) error {
+		if err := verifyServer(state, roots); err != nil || conf.VerifyConnection == nil {
+			return err
+		}
+		return conf.VerifyConnection(state)
+	}
 	return server, client, nil
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,6 +35,7 @@
 	KindAnnounce                 // Announce, answered by AnnounceReply
 	KindProbe                    // Probe, answered by ProbeReply
 	KindAdmin                    // AdminRequest, answered by AdminReply
+	KindPoke                     // Poke from the leader: renew at once, no answer
 )
 
 // Header starts each stream.
@@ -142,6 +143,9 @@
 	Silent   time.Duration     `cbor:"6,keyasint"` // time since the last answer
 }
 
+// Poke asks a host to renew at once, because its next grants differ.
+type Poke struct{}
+
 // RenewReply answers a Renew after a quorum of control hosts has confirmed the leader.
 type RenewReply struct {
 	Leader        string        `cbor:"1,keyasint"`
