Test settlement, closing of epochs and confirmations

Cause: trial mutations of these rules passed the tests. Change: one focused test for each; the failover tests check that a pending term is never reused.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -96,6 +96,7 @@
 	leader  int
 	since   time.Time
 	delay   bool
+	cut     bool // the leader reaches no quorum, but has not noticed yet
 	late    [2][][]byte
 	members [2]*Server
 }
@@ -127,7 +128,7 @@
 func (m testMember) Confirm(context.Context) error {
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
-	if m.g.leader != m.id {
+	if m.g.leader != m.id || m.g.cut {
 		return errUnknown
 	}
 	return nil
@@ -298,3 +299,99 @@
 	_, err = s.borrow(t.Context(), "a", &wire.Borrow{Host: "b"})
 	is.Equal(err, errImpostor)
 }
+
+// script is a run without randomness: member 0 leads, and the host "a" owns the service.
+func script(t *testing.T) (*testGroup, func(s *Server, host string) *wire.RenewReply) {
+	g := &testGroup{clock: clock.NewFake(time.Unix(1000, 0)), term: 1}
+	g.since = g.clock.Now().Add(-time.Minute)
+	for i := range g.members {
+		g.members[i] = New(Config{
+			Name: fmt.Sprint("c", i), Machine: newTestMachine(t), Log: testMember{g, i},
+			Transport: noTransport{}, Clock: g.clock, Logger: log.NewNopLogger(),
+		})
+		t.Cleanup(g.members[i].close)
+	}
+	renew := func(s *Server, host string) *wire.RenewReply {
+		reply, err := s.renew(t.Context(), host, &wire.Renew{Host: host, BootID: "b", Entry: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.work.Wait()
+		return reply
+	}
+	s := g.members[0]
+	for range 2 {
+		s.follow()
+		s.work.Wait()
+		renew(s, "a")
+		s.stepAll()
+		s.work.Wait()
+	}
+	if reply := renew(s, "a"); len(reply.Grants) != 1 {
+		t.Fatalf("a doesn't own the service: %+v", reply)
+	}
+	return g, renew
+}
+
+// Guards against a lease that is renewed while the assignment of the next owner is under way.
+func TestClosedWhileAssigning(t *testing.T) {
+	is := is.New(t)
+	g, renew := script(t)
+	s := g.members[0]
+	g.clock.Advance(lease.Hold)
+	renew(s, "b")
+	g.delay = true
+	s.stepAll() // proposes b as the owner; the outcome stays unknown
+	s.work.Wait()
+	is.Equal(len(g.late[0]), 1)
+	is.Equal(len(renew(s, "a").Grants), 0)
+	g.append(g.late[0][0])
+	is.Equal(len(renew(s, "b").Grants), 1)
+}
+
+// Guards against a grant by a leader that was replaced without noticing, and against a confirmation
+// of a later term that is taken for one of the present tables.
+func TestReplacedLeader(t *testing.T) {
+	is := is.New(t)
+	g, renew := script(t)
+	g.cut = true
+	is.True(renew(g.members[0], "a").NotLeader)
+	g.cut = false
+	g.leader, g.term = 1, 2
+	is.True(renew(g.members[0], "a").NotLeader)
+	g.leader, g.term, g.since = 0, 3, g.clock.Now()
+	is.True(renew(g.members[0], "a").NotLeader)
+}
+
+// Guards against a confirmation that began before the request that it is used for.
+func TestConfirmer(t *testing.T) {
+	is := is.New(t)
+	started, finish := make(chan int, 3), make(chan error)
+	n := 0
+	c := &confirmer{confirm: func(context.Context) error {
+		n++
+		started <- n
+		return <-finish
+	}}
+	results := make(chan error, 3)
+	wait := func() { results <- c.wait(t.Context()) }
+	go wait()
+	is.Equal(<-started, 1)
+	go wait()
+	go wait()
+	finish <- nil
+	is.NoErr(<-results)
+	is.Equal(<-started, 2) // the later requests get a confirmation of their own
+	is.Equal(len(results), 0)
+	finish <- errUnknown
+	is.Equal(<-results, errUnknown)
+	for len(results) == 0 { // the other one joined, or started a third
+		select {
+		case <-started:
+			finish <- errUnknown
+		case err := <-results:
+			results <- err
+		}
+	}
+	is.Equal(<-results, errUnknown)
+}
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -27,6 +27,7 @@
 	recorded map[uint64]string // outcome as recorded
 	noElect  bool              // owners don't conclude elections
 	log      []Action
+	reused   bool // an owner got a term whose election another owner may have concluded
 }
 
 var targets = []string{"t1", "t2", "t3"}
@@ -132,6 +133,7 @@
 			return
 		}
 		w.record.Owner = lease.Owner{Host: a.Host, Boot: a.Boot, Epoch: w.record.Owner.Epoch + 1}
+		w.reused = w.reused || w.record.Elect && !(a.Elect && a.Term > w.record.Term)
 		w.table.Assigned(w.now, "s", w.record.Owner)
 		if a.Elect {
 			w.record.Term, w.record.Elect, w.record.Primary = a.Term, true, ""
@@ -211,6 +213,7 @@
 			is.True(took <= c.limit)
 			is.Equal(w.record.Owner == before.Owner, c.sameOwner)
 			is.Equal(w.record.Term == before.Term, c.sameTerm)
+			is.True(!w.reused)
 			w.run(30 * time.Second) // balance may move the service, but it must stay in service
 			w.settle(t)
 		})
@@ -233,6 +236,9 @@
 		}
 		w.dead, w.cut, w.draining, w.noElect = map[string]bool{}, map[string]bool{}, map[string]bool{}, false
 		w.settle(t)
+		if w.reused {
+			t.Fatalf("a new owner got the term of a pending election: %+v", w.log)
+		}
 		for term, primary := range w.recorded {
 			if w.primary[term] != primary {
 				t.Fatalf("term %d: recorded %s, promoted %s", term, primary, w.primary[term])
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -156,6 +156,27 @@
 	is.Equal(k.Lend(start.Add(LotHold+time.Second), "h", "t", 10, true).Tokens, uint64(10))
 }
 
+// Guards against tokens counted as settled that are spent after all, and against room that is made
+// earlier than the settlement.
+func TestSettlement(t *testing.T) {
+	is := is.New(t)
+	k := NewKeeper(start.Add(-time.Minute), 1)
+	k.SetRate(start, "t", 10, 10)
+	late := k.Lend(start, "h", "t", 4, true)
+	lot := k.Lend(start, "h", "t", 6, true)
+	is.Equal(late.Tokens+lot.Tokens, uint64(10))
+	b := NewBorrower()
+	b.Add(start, lot)
+	is.True(b.Take(start, "t", 6))
+	now := start.Add(time.Second)
+	k.Settle(now, "h", "t", b.HeldOf(now, "t"))
+	b.Add(start, late)
+	is.True(!b.Take(now, "t", 1))                               // reported as unused
+	is.Equal(k.Lend(now, "h", "t", 10, true).Tokens, uint64(0)) // no room until now
+	now = now.Add(500 * time.Millisecond)
+	is.Equal(k.Lend(now, "h", "t", 10, true).Tokens, uint64(5))
+}
+
 // run lets hosts spend at the given rates for 20 s in steps of 10 ms and returns what each got per
 // second in the second half. A host borrows when its lots don't suffice.
 func run(rate, burst float64, demand []float64) []float64 {
