--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -108,6 +108,27 @@
 // Addr returns the bound address, IP:PORT.
 func (e *Endpoint) Addr() string { return e.socket.LocalAddr().String() }
 
+// Traffic returns the bytes sent and received on the open connections that requests use, without
+// UDP and IP headers.
+func (e *Endpoint) Traffic() (sent, received uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, d := range e.dials {
+		select {
+		case <-d.done:
+		default:
+			continue
+		}
+		if d.err != nil {
+			continue
+		}
+		stats := d.conn.ConnectionStats()
+		sent += stats.BytesSent
+		received += stats.BytesReceived
+	}
+	return sent, received
+}
+
 // Handle registers the handler of a kind of streams. It must be called before Serve.
 func (e *Endpoint) Handle(kind wire.Kind, h func(ctx context.Context, peer string, s Stream)) {
 	e.handlers[kind] = h
--- a/internal/transport/testtls/testtls.go
+++ b/internal/transport/testtls/testtls.go
@@ -77,3 +77,24 @@
 		NotAfter:     time.Now().Add(validity),
 	}
 }
+
+// Export encodes the authority with its key, for another process of the same test.
+func (a *Authority) Export() (cert, key []byte, err error) {
+	key, err = x509.MarshalECPrivateKey(a.key)
+	return a.cert.Raw, key, err
+}
+
+// Import decodes what Export returned.
+func Import(cert, key []byte) (*Authority, error) {
+	parsed, err := x509.ParseCertificate(cert)
+	if err != nil {
+		return nil, fmt.Errorf("parse certificate: %w", err)
+	}
+	private, err := x509.ParseECPrivateKey(key)
+	if err != nil {
+		return nil, fmt.Errorf("parse key: %w", err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	return &Authority{cert: parsed, key: private, pool: pool}, nil
+}
