Make the keeper's cost independent of the number of borrowers

Cause: each loan visited all borrowers of the team for expiries and demand. Change: expiries form a queue; demand is a running sum that is rebuilt once per interval. Conclusion: the cost per renewal no longer grows with the number of hosts.

--- a/internal/ratelimit/keeper.go
+++ b/internal/ratelimit/keeper.go
@@ -42,9 +42,17 @@
 	at          time.Time // level is as of this time
 	outstanding float64
 	borrowers   map[string]*borrower
+	expiries    []expiry // of all lots, in order of time
 
 	window time.Time // start of the interval in which tokens are divided
 	supply float64   // tokens that can be lent in this interval
+	demand float64   // sum of the borrowers' wants
+}
+
+// expiry is a moment at which lots of a borrower may expire.
+type expiry struct {
+	at time.Time
+	of *borrower
 }
 
 // borrower is the leader's view of one process that borrows.
@@ -136,8 +144,8 @@
 	b.advance(now)
 	b.divide(now)
 	br := b.borrower(who)
-	br.note(now, float64(want), renewal)
-	n := math.Floor(min(float64(want), b.level, b.share(now, br)))
+	b.note(br, now, float64(want), renewal)
+	n := math.Floor(min(float64(want), b.level, b.share(br)))
 	if n < 1 {
 		return lot
 	}
@@ -153,17 +161,30 @@
 	b.outstanding += lot.left
 	br.given += lot.left
 	br.lots = append(br.lots, lot)
+	b.expiries = append(b.expiries, expiry{at: lot.until, of: br})
 }
 
-// divide starts a new interval when the present one has ended.
+// divide starts a new interval when the present one has ended. It forgets processes that hold and
+// want nothing.
 func (b *bucket) divide(now time.Time) {
 	if now.Sub(b.window) < Interval {
 		return
 	}
 	b.window = now
 	b.supply = b.level + b.rate*Interval.Seconds()
-	for _, br := range b.borrowers {
+	b.demand = 0
+	for who, br := range b.borrowers {
 		br.given = 0
+		if now.Sub(br.wantAt) > demandMemory {
+			br.want = 0
+		}
+		if br.want == 0 && len(br.lots) == 0 {
+			delete(b.borrowers, who)
+		}
+		b.demand += br.want
+	}
+	if len(b.borrowers) == 0 {
+		b.outstanding = 0 // removes rounding errors
 	}
 }
 
@@ -176,28 +197,24 @@
 	return br
 }
 
-func (br *borrower) note(now time.Time, want float64, renewal bool) {
+func (b *bucket) note(br *borrower, now time.Time, want float64, renewal bool) {
+	b.demand -= br.want
 	if renewal || now.Sub(br.wantAt) > demandMemory {
 		br.want = want
 	} else {
 		br.want = max(br.want, br.given+want)
 	}
+	b.demand += br.want
 	br.wantAt = now
 }
 
 // share returns how many more tokens a process may get in its current interval. When the demand
 // of all processes exceeds the supply of an interval, each gets a part in proportion to its demand.
-func (b *bucket) share(now time.Time, br *borrower) float64 {
-	total := 0.0
-	for _, other := range b.borrowers {
-		if now.Sub(other.wantAt) <= demandMemory {
-			total += other.want
-		}
-	}
-	if total <= b.supply {
+func (b *bucket) share(br *borrower) float64 {
+	if b.demand <= b.supply {
 		return math.Inf(1)
 	}
-	return max(1, math.Ceil(b.supply*br.want/total)) - br.given
+	return max(1, math.Ceil(b.supply*br.want/b.demand)) - br.given
 }
 
 // room is the highest level that the bound permits at present.
@@ -205,17 +222,23 @@
 
 // advance refills the bucket up to now. Each expiry of a lot makes room only from its own time on.
 func (b *bucket) advance(now time.Time) {
-	for {
-		who, next := b.nextExpiry()
-		if who == nil || next.After(now) {
-			break
-		}
-		b.refill(next)
-		b.outstanding -= who.lots[0].left
-		who.lots = who.lots[1:]
+	for len(b.expiries) > 0 && !b.expiries[0].at.After(now) {
+		next := b.expiries[0]
+		b.expiries = b.expiries[1:]
+		b.refill(next.at)
+		b.outstanding -= next.of.expire(next.at)
 	}
 	b.refill(now)
-	b.forget(now)
+}
+
+// expire removes the lots that end by now and returns their tokens.
+func (br *borrower) expire(now time.Time) float64 {
+	expired := 0.0
+	for len(br.lots) > 0 && !br.lots[0].until.After(now) {
+		expired += br.lots[0].left
+		br.lots = br.lots[1:]
+	}
+	return expired
 }
 
 func (b *bucket) refill(now time.Time) {
@@ -225,28 +248,3 @@
 	b.level = min(b.level+b.rate*now.Sub(b.at).Seconds(), b.room())
 	b.at = now
 }
-
-func (b *bucket) nextExpiry() (*borrower, time.Time) {
-	var first *borrower
-	for _, br := range b.borrowers {
-		if len(br.lots) > 0 && (first == nil || br.lots[0].until.Before(first.lots[0].until)) {
-			first = br
-		}
-	}
-	if first == nil {
-		return nil, time.Time{}
-	}
-	return first, first.lots[0].until
-}
-
-// forget drops processes that hold nothing and want nothing.
-func (b *bucket) forget(now time.Time) {
-	for who, br := range b.borrowers {
-		if len(br.lots) == 0 && now.Sub(br.wantAt) > demandMemory {
-			delete(b.borrowers, who)
-		}
-	}
-	if len(b.borrowers) == 0 {
-		b.outstanding = 0 // removes rounding errors
-	}
-}
