--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -108,6 +108,27 @@
 // Addr returns the bound address, IP:PORT.
 func (e *Endpoint) Addr() string { return e.socket.LocalAddr().String() }
 
+// Traffic returns the bytes sent and received on the open connections that requests use, without
+// UDP and IP headers.
+func (e *Endpoint) Traffic() (sent, received uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, d := range e.dials {
+		select {
+		case <-d.done:
+		default:
+			continue
+		}
+		if d.err != nil {
+			continue
+		}
+		stats := d.conn.ConnectionStats()
+		sent += stats.BytesSent
+		received += stats.BytesReceived
+	}
+	return sent, received
+}
+
 // Handle registers the handler of a kind of streams. It must be called before Serve.
 func (e *Endpoint) Handle(kind wire.Kind, h func(ctx context.Context, peer string, s Stream)) {
 	e.handlers[kind] = h
@@ -123,10 +144,25 @@
 		if err != nil {
 			return fmt.Errorf("accept connection: %w", err)
 		}
+		e.adopt(conn)
 		go e.serveConn(conn)
 	}
 }
 
+// adopt lets Open use an accepted connection, unless there is one to this address already. A peer
+// dials from the socket on which it listens, so that its address is known.
+func (e *Endpoint) adopt(conn *quic.Conn) {
+	addr := conn.RemoteAddr().String()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d := e.dials[addr]; e.closed || d != nil && d.usable() {
+		return
+	}
+	d := &dial{done: make(chan struct{}), conn: conn, cancel: func() {}}
+	close(d.done)
+	e.dials[addr] = d
+}
+
 // Close closes all connections and the socket, and waits for the handlers to return.
 func (e *Endpoint) Close() error {
 	e.mu.Lock()
