Test the owner against fakes and fix what the tests found

Cause: the owner had no tests. They showed a resend with a request key that was answered with NotRun although its first run had been committed, and an election that could choose a target whose last answer was as old as the election. Answers count in an election only when asked after its start; a candidate that falls silent before the promotion was sent is replaced.

--- a/internal/owner/election.go
+++ b/internal/owner/election.go
@@ -19,6 +19,7 @@
 	phase     string    // for the state dump
 	start     time.Time // answers to earlier questions don't count
 	candidate string    // empty: not chosen
+	attempted bool      // a promotion of the candidate may have been sent
 	cancel    context.CancelFunc
 }
 
@@ -101,7 +102,7 @@
 	for s.update(e, func() { e.phase = "choose" }) {
 		s.await(ctx, nil, func() bool { return s.election != e || s.chooseCandidate(e) })
 		s.update(e, func() { e.phase = "promote" })
-		s.await(ctx, nil, func() bool { return s.election != e || e.candidate == "" })
+		s.await(ctx, nil, func() bool { return s.election != e || s.candidateLost(e) })
 		if ctx.Err() != nil {
 			return
 		}
@@ -148,7 +149,7 @@
 	if old == nil || next == nil || next.Leaving || next.Role != routing.RoleReplica {
 		return false
 	}
-	if old.Asked.Before(e.start) || next.Asked.Before(e.start) {
+	if !old.Asked.After(e.start) || !next.Asked.After(e.start) {
 		return false
 	}
 	if old.Role != routing.RolePrimary || old.Term != s.group.Term || next.Term != s.group.Term {
@@ -170,12 +171,32 @@
 	return ok
 }
 
+// candidateLost reports whether another candidate has to be chosen: the chosen one refused, or it
+// fell silent before a promotion was sent to it. The caller holds mu.
+func (s *service) candidateLost(e *election) bool {
+	if e.candidate == "" {
+		return true
+	}
+	v := s.group.Targets[e.candidate]
+	if e.attempted || v != nil && s.cfg.Clock.Now().Sub(v.Answered) < routing.SilentAfter {
+		return false
+	}
+	s.rechoose(e)
+	return true
+}
+
+func (s *service) rechoose(e *election) {
+	e.candidate, e.attempted = "", false
+	e.start = s.cfg.Clock.Now()
+}
+
 // nextAction returns the control step that a target needs after the given answer.
 func (s *service) nextAction(name string, st Status) action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.election; e != nil {
 		if e.candidate == name && st.Term <= e.term && st.Role != routing.RoleDiverged {
+			e.attempted = true
 			return action{kind: actPromote, term: e.term}
 		}
 		return action{}
@@ -199,8 +220,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.election; e != nil && e.term == a.term && e.candidate == name {
-		e.candidate = ""
-		e.start = s.cfg.Clock.Now()
+		s.rechoose(e)
 		s.notify()
 	}
 }
--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -86,6 +86,9 @@
 
 // run returns the position that has to be confirmed before the outcome is relayed.
 func (k *keyed) run(query []byte) (position.Position, error) {
+	k.t.mu.Lock()
+	k.t.sent = true // errors carry their own verdicts: an earlier run may have been committed
+	k.t.mu.Unlock()
 	found, err := k.recorded()
 	if err != nil {
 		return position.Position{}, k.unsent(err)
@@ -96,9 +99,6 @@
 	if err := k.exec("BEGIN"); err != nil {
 		return position.Position{}, k.unsent(err)
 	}
-	k.t.mu.Lock()
-	k.t.sent = true
-	k.t.mu.Unlock()
 	if err := k.statement(query); err != nil {
 		return position.Position{}, err // the connection is closed, which rolls back
 	}
--- /dev/null
+++ b/internal/owner/relay_test.go
@@ -0,0 +1,65 @@
+package owner
+
+import (
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/internal/pgwire"
+	"github.com/citronrun/citronrun/internal/position"
+)
+
+// endless answers each Next with the same row.
+type endless struct {
+	Conn
+	row pgwire.Frame
+}
+
+func (e endless) Next() (pgwire.Frame, error) { return e.row, nil }
+
+type sink struct{ io.ReadWriteCloser }
+
+func (sink) Write(p []byte) (int, error) { return len(p), nil }
+
+// Guards against allocations per relayed row, which would dominate large results.
+func TestRowsAreRelayedWithoutAllocation(t *testing.T) {
+	is := is.New(t)
+	x := relayOf(endless{row: pgwire.Append(nil, pgwire.DataRow, make([]byte, 100))})
+	n := testing.AllocsPerRun(10000, func() {
+		f, _ := x.p.conn.Next()
+		x.response(f)
+	})
+	t.Logf("%.4f allocations per row", n)
+	is.True(n < 0.01)
+}
+
+func relayOf(c Conn) *tx {
+	x := &tx{stream: sink{}, p: &placed{conn: c, primary: true}}
+	x.syncs = 1
+	return x
+}
+
+func BenchmarkRelayRow(b *testing.B) {
+	x := relayOf(endless{row: pgwire.Append(nil, pgwire.DataRow, make([]byte, 100))})
+	b.ReportAllocs()
+	b.SetBytes(105)
+	for b.Loop() {
+		f, _ := x.p.conn.Next()
+		x.response(f)
+	}
+}
+
+// Guards against a COMMIT in front of further results that is confirmed without its position, and
+// against SQL injection through a request key.
+func TestHeldCompletions(t *testing.T) {
+	is := is.New(t)
+	x := relayOf(endless{})
+	x.p.primary = true
+	is.True(x.response(pgwire.Append(nil, pgwire.CommandComplete, []byte("COMMIT\x00"))))
+	is.True(x.response(pgwire.Append(nil, pgwire.DataRow, make([]byte, 10))))
+	is.True(x.d.commitTag)
+	is.True(!x.d.relayed) // nothing is relayed before the confirmation
+	is.Equal(x.committed(position.Position{}), position.Position{})
+	is.Equal(quote("k'1\x00"), "'k''1'")
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -186,8 +186,8 @@
 	return got[g.Majority()-1], true
 }
 
-// Highest returns the highest position received by the targets that answered a question sent at or
-// after since. ok is false when they aren't a majority.
+// Highest returns the highest position received by the targets that answered a question sent after
+// since. ok is false when they aren't a majority.
 func (g *Group) Highest(since time.Time) (p position.Position, ok bool) {
 	v := g.voters(since)
 	for _, t := range v {
@@ -197,7 +197,7 @@
 }
 
 // Candidate returns the target to promote at the given term: the one that received most among the
-// targets that answered a question sent at or after since. ok is false when they aren't a majority,
+// targets that answered a question sent after since. ok is false when they aren't a majority,
 // or when only a leaving target holds the highest position. Positions alone are compared, as the
 // term in them is the one that wrote the last record; a replica that follows a newer term may still
 // lack records that its own position doesn't show. Diverged targets don't count: their logs say
@@ -236,7 +236,7 @@
 func (g *Group) voters(since time.Time) []*Target {
 	var out []*Target
 	for _, t := range g.Targets {
-		if !t.Answered.IsZero() && !t.Asked.Before(since) && t.Role != RoleDiverged {
+		if !t.Answered.IsZero() && t.Asked.After(since) && t.Role != RoleDiverged {
 			out = append(out, t)
 		}
 	}
