Keep parsed selectors and measure the worst-served team

Cause: each read with a selector parsed it again, and control functions were counted among the connections of a database although targets don't count them. Change: parsed selectors are kept, pools get all connections, and a test compares the worst-served of 8 teams (2 of them with 5 times the callers) under both policies.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -132,6 +132,33 @@
 	}
 }
 
+// Guards against a team that is crowded out by large ones: the worst-served team must get most of its
+// equal part, or all that it asks for. Prints the figures of both policies.
+func TestWorstServedTeam(t *testing.T) {
+	is := is.New(t)
+	var loads []load
+	for i := range 8 {
+		l := load{team: string(rune('a' + i)), share: 1, callers: 10, service: 10 * time.Millisecond}
+		if i < 2 {
+			l.callers = 50 // 5 times its share
+		}
+		loads = append(loads, l)
+	}
+	const length, slots = 20 * time.Second, 2
+	worst := func(p Policy) float64 {
+		u := simulate(p, slots, loads, length, 7)
+		least := 1.0
+		for _, l := range loads {
+			least = min(least, u.used[l.team].Seconds()*float64(len(loads))/(length.Seconds()*slots))
+		}
+		return least
+	}
+	fair, base := worst(Fair), worst(FirstCome)
+	t.Logf("worst-served team gets %.2f of its equal part, %.2f with first come", fair, base)
+	is.True(fair > 0.95)
+	is.True(base < fair)
+}
+
 // Guards against unbounded queues, lost requests and refusals of requests that already run.
 func TestBoundsAndAccounting(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- /dev/null
+++ b/internal/owner/harness_test.go
@@ -0,0 +1,161 @@
+package owner
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/pgwire"
+	"github.com/citronrun/citronrun/internal/position"
+	"github.com/citronrun/citronrun/internal/routing"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// harness runs a Manager over a fake group inside of a synctest bubble.
+type harness struct {
+	*fakeGroup
+	t        *testing.T
+	m        *Manager
+	lease    atomic.Bool
+	returned atomic.Int32
+	seq      uint64
+	rule     catalog.Rule
+}
+
+func (h *harness) Service(string) (catalog.Service, bool) {
+	return catalog.Service{Databases: 3, Slots: 2, Connections: 16}, true
+}
+
+func (h *harness) Rule(string, string) catalog.Rule { return h.rule }
+
+// bubble runs f with a group of three targets, a as primary of term 1.
+func bubble(t *testing.T, f func(h *harness)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := &fakeGroup{targets: map[string]*fakeTarget{}}
+		h := &harness{fakeGroup: g, t: t}
+		for _, name := range []string{"a", "b", "c"} {
+			p := position.Position{Term: 1, Offset: 10}
+			g.targets[name] = &fakeTarget{g: g, name: name, role: routing.RoleReplica, term: 1, received: p, applied: p, keys: map[string]string{}}
+		}
+		g.targets["a"].role = routing.RolePrimary
+		h.lease.Store(true)
+		h.m = New(Config{
+			Catalog: h, Factory: g,
+			LeaseValid:  func(string, uint64) bool { return h.lease.Load() },
+			ReturnLease: func(string, uint64) { h.returned.Add(1) },
+		})
+		h.m.OnGrant(h.grant(1, "a"))
+		h.settle()
+		f(h)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		_ = h.m.Shutdown(ctx)
+		h.edit(func() {
+			for _, f := range g.targets {
+				for _, c := range f.conns {
+					c.kill()
+				}
+			}
+		})
+		synctest.Wait()
+	})
+}
+
+func (h *harness) grant(term uint64, primary string) wire.LeaseGrant {
+	g := wire.LeaseGrant{Service: "s", Epoch: 1, Term: term, Primary: primary, Elect: primary == ""}
+	for _, name := range []string{"a", "b", "c"} {
+		g.Targets = append(g.Targets, wire.TargetInfo{Target: name, Addr: name, Place: name})
+	}
+	return g
+}
+
+// settle lets the virtual time pass until the status loops have asked again, also after a timeout.
+func (h *harness) settle() { <-time.After(DefaultStatusTimeout + 3*DefaultPollIdle) }
+
+func (h *harness) edit(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+type caller struct {
+	net.Conn
+	r     *pgwire.Reader
+	reply wire.TxReply
+	req   wire.TxRequest
+}
+
+type result struct {
+	tags   []string
+	rows   int
+	code   string
+	detail string
+	token  string
+	status byte // 0: the stream ended first
+}
+
+// open starts a transaction whose first statement is sql.
+func (h *harness) open(req wire.TxRequest, sql string) *caller {
+	h.t.Helper()
+	h.seq++
+	req.Service, req.Team, req.Session, req.Seq = "s", "t", "x", h.seq
+	near, far := net.Pipe()
+	go h.m.Serve(context.Background(), req, far)
+	c := &caller{Conn: near, r: pgwire.NewReader(near, pgwire.MaxFrameBytes), req: req}
+	go c.send(sql)
+	if err := wire.Read(near, &c.reply, wire.MaxMessageBytes); err != nil {
+		h.t.Fatal(err)
+	}
+	return c
+}
+
+func (c *caller) send(sql string) { _, _ = c.Write(encode(&pgproto3.Query{String: sql})) }
+
+func (c *caller) read() (r result) {
+	for {
+		f, err := c.r.Next()
+		if err != nil {
+			return r
+		}
+		switch f.Type() {
+		case pgwire.CommandComplete:
+			r.tags = append(r.tags, strings.TrimSuffix(string(f.Body()), "\x00"))
+		case pgwire.DataRow:
+			r.rows++
+		case pgwire.ErrorResponse:
+			r.code, r.detail = errorField(f, 'C'), errorField(f, 'D')
+		case pgwire.ParameterStatus:
+			name, v, _ := pgwire.ParseStatus(f)
+			if name == pgwire.StatusToken {
+				r.token = v
+			}
+		case pgwire.ReadyForQuery:
+			r.status = f[5]
+			return r
+		}
+	}
+}
+
+func (c *caller) query(sql string) result {
+	go c.send(sql)
+	return c.read()
+}
+
+// run is a whole transaction of one statement.
+func (h *harness) run(req wire.TxRequest, sql string) result {
+	h.t.Helper()
+	c := h.open(req, sql)
+	defer func() { _ = c.Close() }()
+	if !c.reply.Admitted {
+		return result{code: c.reply.Code}
+	}
+	return c.read()
+}
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -34,6 +34,7 @@
 
 // OnGrant applies a lease grant. It doesn't block.
 func (m *Manager) OnGrant(g wire.LeaseGrant) {
+	conf, _ := m.cfg.Catalog.Service(g.Service)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
@@ -52,7 +53,7 @@
 		m.services[g.Service] = s
 		go s.run()
 	}
-	s.apply(g)
+	s.apply(g, conf)
 }
 
 // OnRevoke ends the ownership of an epoch: no new work starts, and the lease is returned once the
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -86,7 +86,7 @@
 	Service  string
 	Target   string
 	Addr     string // PostgreSQL address IP:PORT
-	MaxConns int    // of the pool; one more is used for control functions
+	MaxConns int    // of the pool; control functions use a connection of their own
 }
 
 // Factory makes the connections to targets.
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -25,6 +25,9 @@
 	start   position.Position // last position that the connection had reported before
 }
 
+// maxSelectors bounds the parsed selectors that are kept.
+const maxSelectors = 256
+
 // job is a request with what the catalog says about it.
 type job struct {
 	req      wire.TxRequest
@@ -102,7 +105,7 @@
 	req := j.req
 	r := routing.Read{Mode: req.Mode, MaxAge: req.MaxAge, Place: req.Place, MaxWait: s.cfg.ReplicaWait}
 	if j.rule.TargetSelector != "" {
-		sel, err := labels.Parse(j.rule.TargetSelector)
+		sel, err := s.parseSelector(j.rule.TargetSelector)
 		if err != nil {
 			return r, false
 		}
@@ -122,6 +125,24 @@
 	return r, known
 }
 
+// parseSelector keeps parsed selectors, since each read needs one.
+func (s *service) parseSelector(text string) (labels.Selector, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sel, ok := s.selector[text]; ok {
+		return sel, nil
+	}
+	sel, err := labels.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	if len(s.selector) >= maxSelectors {
+		clear(s.selector) // old texts remain after changes of policies
+	}
+	s.selector[text] = sel
+	return sel, nil
+}
+
 func (s *service) choose(r routing.Read) (routing.Decision, *target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -6,7 +6,10 @@
 	"sync"
 	"time"
 
+	"k8s.io/apimachinery/pkg/labels"
+
 	"github.com/citronrun/citronrun/internal/admission"
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/routing"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -39,7 +42,8 @@
 	writers  int // transactions that hold or wait for the primary's connections
 	revoked  bool
 	returned bool
-	gen      context.Context // ends when the primary changes or an election starts
+	selector map[string]labels.Selector // parsed selectors of rules
+	gen      context.Context            // ends when the primary changes or an election starts
 	genEnd   context.CancelFunc
 }
 
@@ -61,6 +65,8 @@
 		rnd:     rand.New(rand.NewPCG(m.cfg.Seed, g.Epoch)),
 		started: m.cfg.Clock.Now(),
 		txs:     map[txKey]*tx{},
+
+		selector: map[string]labels.Selector{},
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.gen, s.genEnd = context.WithCancel(s.ctx)
@@ -72,8 +78,7 @@
 }
 
 // apply takes over a grant of the service's epoch. Grants of an older term are dropped.
-func (s *service) apply(g wire.LeaseGrant) {
-	conf, _ := s.cfg.Catalog.Service(s.name)
+func (s *service) apply(g wire.LeaseGrant, conf catalog.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.returned || s.ctx.Err() != nil || g.Term < s.group.Term || s.election != nil && g.Term < s.election.term {
@@ -81,7 +86,7 @@
 	}
 	s.revoked = false
 	s.group.Databases = conf.Databases
-	s.setTargets(g.Targets, max(conf.Slots, 1), max(conf.Connections-1, 1))
+	s.setTargets(g.Targets, max(conf.Slots, 1), max(conf.Connections, 1))
 	if g.Elect {
 		s.beginElection(g)
 	} else {
