Add the replica package; change members only with recent contact

The control hosts need a driver that connects consensus, disk and peers. The replica package batches proposals and confirmed reads, founds groups and adds hosts without a group by itself. Random schedules showed that a learner that died within the 400 ms contact window could be promoted into a quorum that can't form. Changes now require contact within 5 ticks.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -28,7 +28,7 @@
 	if len(remaining) == len(n.members) {
 		return 0, 0, ErrUnknownMember
 	}
-	if !n.hasContact(remaining) {
+	if !n.hasContact(remaining, changeContactTicks) {
 		return 0, 0, ErrQuorumAtRisk
 	}
 	return n.proposeMembers(remaining)
@@ -67,7 +67,7 @@
 		}
 		members := slices.Clone(n.members)
 		members[i].Learner = false
-		if pr.silent < ElectionMinTicks && n.hasContact(members) {
+		if pr.silent < changeContactTicks && n.hasContact(members, changeContactTicks) {
 			n.proposeMembers(members)
 			return
 		}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -31,7 +31,7 @@
 		pr.silent++
 		pr.waited++
 	}
-	if !n.hasContact(n.members) {
+	if !n.hasContact(n.members, ElectionMinTicks) {
 		n.becomeFollower(n.term, 0)
 		return
 	}
@@ -45,16 +45,15 @@
 	}
 }
 
-// hasContact reports whether a quorum of the voters in members replied within the shortest election
-// timeout.
-func (n *Node) hasContact(members []Member) bool {
+// hasContact reports whether a quorum of the voters in members replied less than limit ticks ago.
+func (n *Node) hasContact(members []Member, limit int) bool {
 	voters, reached := 0, 0
 	for _, m := range members {
 		if m.Learner {
 			continue
 		}
 		voters++
-		if pr := n.progress[m.ID]; pr != nil && pr.silent < ElectionMinTicks {
+		if pr := n.progress[m.ID]; pr != nil && pr.silent < limit {
 			reached++
 		}
 	}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -26,7 +26,11 @@
 	// snapshotRetryTicks is the time after which an unacknowledged snapshot is sent again.
 	snapshotRetryTicks = 40
 	// promoteLagEntries is how far a learner may be behind the commit index when it is promoted.
-	promoteLagEntries  = 16
+	promoteLagEntries = 16
+	// changeContactTicks is how recently the quorum of a new membership must have replied. It leaves
+	// room for one lost heartbeat. A longer time would let a member that just died become part of a
+	// quorum that can't form any more.
+	changeContactTicks = 2*HeartbeatTicks + 1
 	entryOverheadBytes = 32
 )
 
--- /dev/null
+++ b/internal/replica/batch.go
@@ -0,0 +1,152 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/citronrun/citronrun/internal/consensus"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+const (
+	batchVersion    = 1
+	maxAddrBytes    = 256
+	maxQueuedBytes  = 16 << 20
+	maxBatchBytes   = 768 << 10 // of the data in one batch without snapshot
+	messageOverhead = 128
+	maxAddresses    = 1024
+)
+
+// hello asks or tells whether a host belongs to a group.
+type hello uint8
+
+const (
+	helloNone hello = iota
+	helloAsk
+	helloAnswer
+)
+
+// envelope is the content of a batch.
+type envelope struct {
+	Version  uint8               `cbor:"1,keyasint"`
+	From     Member              `cbor:"2,keyasint"`
+	Messages []consensus.Message `cbor:"3,keyasint,omitempty"`
+	Hello    hello               `cbor:"4,keyasint,omitempty"`
+	Joined   bool                `cbor:"5,keyasint,omitempty"` // the sender belongs to a group
+	Founding bool                `cbor:"6,keyasint,omitempty"` // the sender may found a group
+}
+
+var errBadBatch = errors.New("malformed batch")
+
+// decodeBatch decodes and checks a batch from the network.
+func decodeBatch(batch []byte) (envelope, error) {
+	var e envelope
+	if len(batch) > wire.MaxSnapshotBytes {
+		return e, fmt.Errorf("batch of %d bytes: %w", len(batch), wire.ErrTooLarge)
+	}
+	if err := wire.Unmarshal(batch, &e); err != nil {
+		return envelope{}, fmt.Errorf("decode batch: %w", err)
+	}
+	if e.Version != batchVersion || e.From.ID == 0 || len(e.From.Addr) > maxAddrBytes || e.Hello > helloAnswer {
+		return envelope{}, errBadBatch
+	}
+	for _, m := range e.Messages {
+		if m.From != e.From.ID {
+			return envelope{}, errBadBatch
+		}
+	}
+	return e, nil
+}
+
+// Receive handles a batch from a peer. A batch that is malformed, or that arrives while too much is
+// queued, is dropped; the sender repeats what matters.
+func (r *Replica) Receive(batch []byte) {
+	e, err := decodeBatch(batch)
+	if err != nil {
+		_ = r.cfg.Logger.Log("msg", "batch dropped", "err", err)
+		return
+	}
+	_ = r.enqueue(func(in *inputs) {
+		if in.bytes+len(batch) > maxQueuedBytes {
+			return
+		}
+		in.bytes += len(batch)
+		in.batches = append(in.batches, e)
+	})
+}
+
+// handleBatch passes a batch to consensus. An error means that the disk failed.
+func (r *Replica) handleBatch(e envelope) error {
+	if len(r.addresses) >= maxAddresses {
+		clear(r.addresses)
+	}
+	r.addresses[e.From.ID] = e.From.Addr
+	if e.Hello != helloNone {
+		return r.handleHello(e)
+	}
+	for _, m := range e.Messages {
+		err := r.node.Step(m)
+		if err != nil && !errors.Is(err, consensus.ErrWrongMember) {
+			_ = r.cfg.Logger.Log("msg", "message refused", "from", fmt.Sprintf("%x", m.From), "err", err)
+		}
+	}
+	return nil
+}
+
+// send groups messages by receiver. A snapshot travels in a batch of its own.
+func (r *Replica) send(messages []consensus.Message) {
+	var order []uint64
+	byReceiver := map[uint64][]consensus.Message{}
+	for _, m := range messages {
+		if !slices.Contains(order, m.To) {
+			order = append(order, m.To)
+		}
+		byReceiver[m.To] = append(byReceiver[m.To], m)
+	}
+	for _, id := range order {
+		r.sendTo(id, byReceiver[id])
+	}
+}
+
+func (r *Replica) sendTo(id uint64, messages []consensus.Message) {
+	to := r.memberByID(id, r.node.Status().Members)
+	start, size := 0, 0
+	for i, m := range messages {
+		n := messageBytes(m)
+		if i > start && size+n > maxBatchBytes {
+			r.sendEnvelope(to, envelope{Messages: messages[start:i]})
+			start, size = i, 0
+		}
+		size += n
+	}
+	r.sendEnvelope(to, envelope{Messages: messages[start:]})
+}
+
+func messageBytes(m consensus.Message) int {
+	n := messageOverhead
+	for _, e := range m.Entries {
+		n += len(e.Data) + messageOverhead
+	}
+	if m.Snapshot != nil {
+		n += maxBatchBytes
+	}
+	return n
+}
+
+func (r *Replica) sendEnvelope(to Member, e envelope) {
+	if to.Addr == "" {
+		return
+	}
+	e.Version = batchVersion
+	e.From = Member{ID: r.id, Addr: r.cfg.Addr}
+	batch, err := wire.Marshal(e)
+	if err == nil && len(batch) > wire.MaxSnapshotBytes {
+		err = wire.ErrTooLarge
+	}
+	if err != nil {
+		_ = r.cfg.Logger.Log("msg", "batch not sent", "to", to.Addr, "err", err)
+		return
+	}
+	r.peers.Send(to, batch)
+}
--- /dev/null
+++ b/internal/replica/founding.go
@@ -0,0 +1,114 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/citronrun/citronrun/internal/consensus"
+	"github.com/citronrun/citronrun/internal/wal"
+)
+
+// helloTicks is the interval, in ticks, at which a founder or a leader asks hosts that belong to no
+// group.
+const helloTicks = 10
+
+const (
+	foundingIndex = 1
+	foundingTerm  = 1
+)
+
+// founding collects the answers of the other initial hosts.
+type founding struct {
+	free map[string]bool // addresses that answered that they belong to no group
+}
+
+// beginFounding founds the group at once if there are no other initial hosts.
+func (r *Replica) beginFounding() error {
+	r.founding = &founding{free: map[string]bool{}}
+	if err := r.foundIfFree(); err != nil {
+		return err
+	}
+	r.publish()
+	return nil
+}
+
+// joined reports whether this member belongs or belonged to a group.
+func (r *Replica) joined() bool { return len(r.node.Status().Members) > 0 }
+
+// foundIfFree founds the group once all other initial hosts are known to belong to none. The group
+// starts with this member alone; as its leader it adds the others.
+func (r *Replica) foundIfFree() error {
+	if r.founding == nil {
+		return nil
+	}
+	for _, addr := range r.cfg.Initial {
+		if addr != r.cfg.Addr && !r.founding.free[addr] {
+			return nil
+		}
+	}
+	r.founding = nil
+	data, err := r.sm.Snapshot()
+	if err != nil {
+		return fmt.Errorf("take the first snapshot: %w", err)
+	}
+	s := consensus.Snapshot{
+		Index: foundingIndex, Term: foundingTerm, Data: data,
+		Members: []Member{{ID: r.id, Addr: r.cfg.Addr}},
+	}
+	hard := consensus.HardState{Term: foundingTerm, Commit: foundingIndex}
+	if err := r.log.Install(s, hard); err != nil {
+		return err
+	}
+	return r.newNode(wal.State{Hard: hard, Snapshot: s})
+}
+
+// sendHellos asks the initial hosts that aren't members.
+func (r *Replica) sendHellos() {
+	status := r.node.Status()
+	if r.founding == nil && status.Role != consensus.Leader {
+		return
+	}
+	for _, addr := range r.cfg.Initial {
+		if addr != r.cfg.Addr && !hasAddress(status.Members, addr) {
+			r.sendEnvelope(Member{Addr: addr}, envelope{Hello: helloAsk})
+		}
+	}
+}
+
+func hasAddress(members []Member, addr string) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Addr == addr })
+}
+
+func (r *Replica) handleHello(e envelope) error {
+	if e.Hello == helloAsk {
+		answer := envelope{Hello: helloAnswer, Joined: r.joined(), Founding: r.founding != nil}
+		r.sendEnvelope(e.From, answer)
+		return nil
+	}
+	if !slices.Contains(r.cfg.Initial, e.From.Addr) || e.From.Addr == r.cfg.Addr {
+		return nil
+	}
+	if r.founding != nil {
+		return r.handleFoundingAnswer(e)
+	}
+	if e.Joined || r.node.Status().Role != consensus.Leader {
+		return nil
+	}
+	_, _, err := r.node.AddLearner(Member{ID: e.From.ID, Addr: e.From.Addr})
+	if err != nil && !errors.Is(err, consensus.ErrChangePending) && !errors.Is(err, consensus.ErrMemberExists) {
+		_ = r.cfg.Logger.Log("msg", "host not added", "addr", e.From.Addr, "err", err)
+	}
+	return nil
+}
+
+// handleFoundingAnswer gives up when a group exists. Of several hosts that may found the group the
+// one with the lowest address does.
+func (r *Replica) handleFoundingAnswer(e envelope) error {
+	if e.Joined || e.Founding && e.From.Addr < r.cfg.Addr {
+		r.founding = nil
+		return nil
+	}
+	r.founding.free[e.From.Addr] = true
+	return r.foundIfFree()
+}
--- /dev/null
+++ b/internal/replica/loop.go
@@ -0,0 +1,194 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/consensus"
+	"github.com/citronrun/citronrun/internal/verdict"
+)
+
+// inputs are the requests that wait for the loop.
+type inputs struct {
+	batches   []envelope
+	bytes     int // encoded size of batches
+	proposals []*proposal
+	confirms  []chan error
+	calls     []func()
+}
+
+// run is the loop. It ends on Close or when the disk fails.
+func (r *Replica) run() {
+	defer close(r.done)
+	ticks := r.cfg.Ticks
+	if ticks == nil {
+		ticker := time.NewTicker(tickInterval)
+		defer ticker.Stop()
+		ticks = ticker.C
+	}
+	// The first tick is given at once, so that a group of one member leads without delay.
+	err := r.tick()
+	for err == nil {
+		select {
+		case <-r.stop:
+			err = ErrClosed
+		case <-ticks:
+			err = r.tick()
+		case <-r.wake:
+			err = r.step()
+		}
+	}
+	r.end(err)
+}
+
+func (r *Replica) tick() error {
+	r.node.Tick()
+	r.ticks++
+	if r.ticks%helloTicks == 0 {
+		r.sendHellos()
+	}
+	return r.step()
+}
+
+// step handles all queued inputs and the work that follows from them.
+func (r *Replica) step() error {
+	r.mu.Lock()
+	in := r.in
+	r.in = inputs{}
+	r.mu.Unlock()
+	for _, b := range in.batches {
+		if err := r.handleBatch(b); err != nil {
+			return err
+		}
+	}
+	for _, p := range in.proposals {
+		r.startProposal(p)
+	}
+	r.startConfirms(in.confirms)
+	for _, call := range in.calls {
+		call()
+	}
+	return r.work()
+}
+
+// enqueue passes a request to the loop. It fails once the loop has ended.
+func (r *Replica) enqueue(add func(*inputs)) error {
+	r.mu.Lock()
+	if r.stopped != nil {
+		r.mu.Unlock()
+		return r.stopped
+	}
+	add(&r.in)
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// work carries out all work that the node has.
+func (r *Replica) work() error {
+	for {
+		ready := r.node.Ready()
+		if err := r.persist(ready); err != nil {
+			return err
+		}
+		r.send(ready.Messages)
+		if err := r.apply(ready); err != nil {
+			return err
+		}
+		r.node.Advance()
+		if err := r.takeSnapshot(); err != nil {
+			return err
+		}
+		r.publish()
+		r.answerReads(ready)
+		if r.status.Load().Role != consensus.Leader {
+			r.failProposals(errLeadershipLost)
+		}
+		if ready.Empty() {
+			return nil
+		}
+	}
+}
+
+func (r *Replica) persist(ready consensus.Ready) error {
+	if ready.Snapshot != nil {
+		if err := r.log.Install(*ready.Snapshot, *ready.Hard); err != nil {
+			return err
+		}
+	}
+	return r.log.Save(ready.Hard, ready.Entries)
+}
+
+func (r *Replica) apply(ready consensus.Ready) error {
+	if s := ready.Snapshot; s != nil {
+		if err := r.sm.Restore(s.Data); err != nil {
+			return fmt.Errorf("restore the snapshot at %d: %w", s.Index, err)
+		}
+		r.applied = s.Index
+		r.snapIndex = s.Index
+		r.failProposals(errLeadershipLost)
+	}
+	for _, e := range ready.Committed {
+		var result any
+		if e.Kind == consensus.EntryData {
+			result = r.sm.Apply(e.Index, e.Data)
+		}
+		r.applied = e.Index
+		r.finishProposal(e, result)
+	}
+	return nil
+}
+
+// takeSnapshot saves the state machine's state after enough entries and compacts the log.
+func (r *Replica) takeSnapshot() error {
+	if r.applied-r.snapIndex < r.cfg.SnapshotEntries {
+		return nil
+	}
+	data, err := r.sm.Snapshot()
+	if err != nil {
+		return fmt.Errorf("take a snapshot at %d: %w", r.applied, err)
+	}
+	s, err := r.node.NewSnapshot(r.applied, data)
+	if err != nil {
+		return err
+	}
+	if err := r.log.SaveSnapshot(s); err != nil {
+		return err
+	}
+	r.snapIndex = s.Index
+	first := r.node.Compact(s, r.cfg.TailEntries)
+	return r.log.Compact(first)
+}
+
+// end answers all requests after the loop has ended.
+func (r *Replica) end(cause error) {
+	if !errors.Is(cause, ErrClosed) {
+		_ = r.cfg.Logger.Log("msg", "member stopped", "err", cause)
+	}
+	s := *r.status.Load()
+	s.Role = consensus.Follower
+	s.Leader = Member{}
+	s.LeaderSince = time.Time{}
+	s.Err = cause
+	r.status.Store(&s)
+	r.mu.Lock()
+	r.stopped = cause
+	in := r.in
+	r.in = inputs{}
+	r.mu.Unlock()
+	for _, p := range in.proposals {
+		p.finish(nil, notRun(verdict.CodeShutdown, cause))
+	}
+	for _, c := range in.confirms {
+		c <- notRun(verdict.CodeShutdown, cause)
+	}
+	r.failProposals(cause)
+	for id, callers := range r.reads {
+		r.answer(id, callers, notRun(verdict.CodeShutdown, cause))
+	}
+	r.announce(&s)
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,270 @@
+// Package replica runs one consensus member: it connects the consensus package to disk (wal) and to
+// the other members (Peers), and applies committed entries to a state machine.
+//
+// One goroutine owns the consensus state. Callers hand their requests to it through a queue, and it
+// serves all queued requests together, so that many callers share one fsync and one heartbeat round.
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/consensus"
+	"github.com/citronrun/citronrun/internal/wal"
+)
+
+const (
+	// DefaultSnapshotEntries is the number of applied entries between two snapshots.
+	DefaultSnapshotEntries = 500
+	// DefaultTailEntries is the number of entries that are kept before a snapshot.
+	DefaultTailEntries = 100
+	tickInterval       = consensus.TickMillis * time.Millisecond
+)
+
+// ErrClosed is the cause of errors of a closed Replica.
+var ErrClosed = errors.New("replica is closed")
+
+// Member identifies a participant of the group.
+type Member = consensus.Member
+
+// StateMachine is the replicated state. Its methods are called by one goroutine at a time.
+type StateMachine interface {
+	// Apply executes a committed entry. It must be deterministic. The result is returned to the
+	// caller of Propose if it is on this member.
+	Apply(index uint64, data []byte) any
+	// Snapshot encodes the state. The result must fit into one message of wire.MaxSnapshotBytes.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by a snapshot.
+	Restore(data []byte) error
+}
+
+// Peers sends batches to other members. Send is best effort and must not block or keep the caller
+// waiting; the receiver passes the batch to Receive.
+type Peers interface {
+	Send(to Member, batch []byte)
+}
+
+// Config configures a Replica.
+type Config struct {
+	Dir  string // folder of this member alone
+	Addr string // own address, as other members reach it
+	// Initial lists the addresses of the hosts that are to form the group. The leader adds those
+	// that never belonged to a group by itself.
+	Initial []string
+	// Bootstrap lets a host with an empty folder found the group. It does so only after all other
+	// hosts in Initial have answered that they belong to no group, so that a host that lost its disk
+	// doesn't found a second one.
+	Bootstrap       bool
+	SnapshotEntries uint64           // 0: DefaultSnapshotEntries
+	TailEntries     uint64           // 0: DefaultTailEntries
+	Seed            uint64           // of election timeouts; 0: random
+	Clock           clock.Clock      // nil: clock.System
+	Ticks           <-chan time.Time // one value every 50 ms; nil: a ticker
+	FS              wal.FS           // nil: wal.OS
+	Logger          log.Logger       // nil: no log
+}
+
+// Status describes a member at one moment.
+type Status struct {
+	ID          uint64
+	Role        consensus.Role
+	Term        uint64
+	Leader      Member // zero if unknown
+	Commit      uint64 // index
+	Applied     uint64 // index
+	Members     []Member
+	LeaderSince time.Time // when this member's leadership began; zero if it doesn't lead
+	Err         error     // why the member has stopped, or nil
+}
+
+// Replica is a running member. Its methods are safe for concurrent use.
+type Replica struct {
+	cfg   Config
+	sm    StateMachine
+	peers Peers
+	log   *wal.Log
+	stop  chan struct{}
+	done  chan struct{}
+	wake  chan struct{}
+	once  sync.Once
+
+	status atomic.Pointer[Status]
+
+	mu      sync.Mutex
+	in      inputs
+	stopped error         // set when the loop has ended
+	changed chan struct{} // closed at the next change of leadership
+
+	// The fields below belong to the loop.
+	node      *consensus.Node
+	id        uint64
+	applied   uint64
+	snapIndex uint64
+	waiting   map[uint64]*proposal // by index
+	nextRead  uint64
+	reads     map[uint64][]chan error // by read id
+	confirmed []consensus.Read        // wait until their index is applied
+	addresses map[uint64]string       // of senders
+	founding  *founding               // nil unless this member may found the group
+	ticks     int
+}
+
+// Open loads the member's folder and starts the member. An empty folder gets a new random member id.
+func Open(cfg Config, sm StateMachine, peers Peers) (*Replica, error) {
+	setDefaults(&cfg)
+	store, state, err := wal.Open(cfg.Dir, wal.Options{FS: cfg.FS, NewMember: randomID})
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		cfg: cfg, sm: sm, peers: peers, log: store, id: state.Member,
+		stop:      make(chan struct{}),
+		done:      make(chan struct{}),
+		wake:      make(chan struct{}, 1),
+		changed:   make(chan struct{}),
+		waiting:   map[uint64]*proposal{},
+		reads:     map[uint64][]chan error{},
+		addresses: map[uint64]string{},
+	}
+	if err := r.start(state); err != nil {
+		_ = store.Close()
+		return nil, err
+	}
+	go r.run()
+	return r, nil
+}
+
+func setDefaults(cfg *Config) {
+	if cfg.SnapshotEntries == 0 {
+		cfg.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if cfg.TailEntries == 0 {
+		cfg.TailEntries = DefaultTailEntries
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = randomID()
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = clock.System{}
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	cfg.Logger = log.With(cfg.Logger, "component", "replica")
+}
+
+// randomID returns a random number other than 0.
+func randomID() uint64 {
+	var b [8]byte
+	for {
+		_, _ = rand.Read(b[:]) // never fails
+		if id := binary.BigEndian.Uint64(b[:]); id != 0 {
+			return id
+		}
+	}
+}
+
+// start restores state machine and consensus from disk.
+func (r *Replica) start(state wal.State) error {
+	if state.Snapshot.Index > 0 {
+		if err := r.sm.Restore(state.Snapshot.Data); err != nil {
+			return fmt.Errorf("restore the snapshot at %d: %w", state.Snapshot.Index, err)
+		}
+	}
+	if err := r.newNode(state); err != nil {
+		return err
+	}
+	if state.Snapshot.Index == 0 && r.cfg.Bootstrap {
+		return r.beginFounding()
+	}
+	r.publish()
+	return nil
+}
+
+func (r *Replica) newNode(state wal.State) error {
+	node, err := consensus.New(consensus.Config{
+		ID: r.id, Seed: r.cfg.Seed, Hard: state.Hard, Snapshot: state.Snapshot, Entries: state.Entries,
+	})
+	if err != nil {
+		return fmt.Errorf("load member %x: %w", r.id, err)
+	}
+	r.node = node
+	r.applied = state.Snapshot.Index
+	r.snapIndex = state.Snapshot.Index
+	return nil
+}
+
+// Status returns the state after the last completed step.
+func (r *Replica) Status() Status { return *r.status.Load() }
+
+// LeadershipChanged returns a channel that is closed when role, term or leader next change or the
+// member stops. Call it before Status in order to miss no change.
+func (r *Replica) LeadershipChanged() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Done is closed when the member has stopped, by Close or because its disk failed; Status().Err says
+// why.
+func (r *Replica) Done() <-chan struct{} { return r.done }
+
+// Close stops the member and releases its folder. Use TransferLeadership first for a graceful
+// shutdown.
+func (r *Replica) Close() error {
+	var err error
+	r.once.Do(func() {
+		close(r.stop)
+		<-r.done
+		err = r.log.Close()
+	})
+	return err
+}
+
+// publish updates the status and announces a change of leadership.
+func (r *Replica) publish() {
+	n := r.node.Status()
+	s := &Status{
+		ID: r.id, Role: n.Role, Term: n.Term, Commit: n.Commit, Applied: r.applied, Members: n.Members,
+	}
+	s.Leader = r.memberByID(n.Leader, n.Members)
+	old := r.status.Load()
+	if n.Role == consensus.Leader {
+		s.LeaderSince = r.cfg.Clock.Now()
+		if old != nil && old.Role == consensus.Leader && old.Term == n.Term {
+			s.LeaderSince = old.LeaderSince
+		}
+	}
+	r.status.Store(s)
+	if old == nil || old.Role != s.Role || old.Term != s.Term || old.Leader != s.Leader {
+		r.announce(s)
+	}
+}
+
+func (r *Replica) announce(s *Status) {
+	_ = r.cfg.Logger.Log("msg", "leadership changed", "role", s.Role, "term", s.Term, "leader", fmt.Sprintf("%x", s.Leader.ID))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Replica) memberByID(id uint64, members []Member) Member {
+	if id == 0 {
+		return Member{}
+	}
+	for _, m := range members {
+		if m.ID == id {
+			return m
+		}
+	}
+	return Member{ID: id, Addr: r.addresses[id]}
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,411 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/consensus"
+	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wal"
+	"github.com/citronrun/citronrun/internal/wire"
+	"github.com/matryer/is"
+)
+
+// counter is a state machine that counts entries and adds up their bytes.
+type counter struct {
+	mu         sync.Mutex
+	count, sum uint64
+	restored   uint64 // count at the last Restore
+}
+
+func (c *counter) Apply(_ uint64, data []byte) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count++
+	for _, b := range data {
+		c.sum += uint64(b)
+	}
+	return c.count
+}
+
+func (c *counter) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, c.count), c.sum), nil
+}
+
+func (c *counter) Restore(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count, c.sum = binary.BigEndian.Uint64(data), binary.BigEndian.Uint64(data[8:])
+	c.restored = c.count
+	return nil
+}
+
+func (c *counter) value() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
+// hub connects replicas by address. Ticks are sent by the test.
+type hub struct {
+	mu       sync.Mutex
+	replicas map[string]*Replica
+	ticks    map[string]chan time.Time
+	down     map[string]bool
+}
+
+func newHub() *hub {
+	return &hub{replicas: map[string]*Replica{}, ticks: map[string]chan time.Time{}, down: map[string]bool{}}
+}
+
+type peer struct {
+	hub  *hub
+	from string
+}
+
+func (p peer) Send(to Member, batch []byte) {
+	p.hub.mu.Lock()
+	defer p.hub.mu.Unlock()
+	if r := p.hub.replicas[to.Addr]; r != nil && !p.hub.down[to.Addr] && !p.hub.down[p.from] {
+		go r.Receive(batch)
+	}
+}
+
+func (h *hub) open(t *testing.T, dir, addr string, sm StateMachine, cfg Config) *Replica {
+	t.Helper()
+	cfg.Dir, cfg.Addr, cfg.Seed = dir, addr, 1
+	ticks := make(chan time.Time)
+	cfg.Ticks = ticks
+	r, err := Open(cfg, sm, peer{h, addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.mu.Lock()
+	h.replicas[addr], h.ticks[addr] = r, ticks
+	h.mu.Unlock()
+	t.Cleanup(func() { _ = r.Close() })
+	return r
+}
+
+// tickUntil lets ticks pass, as fast as the members take them, until done returns true.
+func (h *hub) tickUntil(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 20000 {
+		if done() {
+			return
+		}
+		for addr, ticks := range h.ticks {
+			select {
+			case ticks <- time.Time{}:
+			case <-h.replicas[addr].Done():
+			}
+		}
+		for range 50 {
+			runtime.Gosched()
+		}
+	}
+	t.Fatal("the condition wasn't reached")
+}
+
+func (h *hub) setDown(addr string, down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down[addr] = down
+}
+
+func (h *hub) leader() *Replica {
+	for addr, r := range h.replicas {
+		if !h.down[addr] && r.Status().Role == consensus.Leader {
+			return r
+		}
+	}
+	return nil
+}
+
+func voters(r *Replica) int {
+	count := 0
+	for _, m := range r.Status().Members {
+		if !m.Learner {
+			count++
+		}
+	}
+	return count
+}
+
+// TestRestart guards the state of a member that restarts after 1,000 entries with a snapshot in between.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	dir := filepath.Join(t.TempDir(), "a")
+	ctx := context.Background()
+	cfg := Config{Dir: dir, Addr: "a", Bootstrap: true}
+	sm := &counter{}
+	r, err := Open(cfg, sm, peer{newHub(), "a"})
+	is.NoErr(err)
+	var group sync.WaitGroup
+	for worker := range 10 {
+		group.Go(func() {
+			for i := range 100 {
+				if _, err := r.Propose(ctx, fmt.Append(nil, worker, i)); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	is.NoErr(r.Confirm(ctx))
+	id := r.Status().ID
+	is.NoErr(r.Close())
+	_, err = r.Propose(ctx, nil)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+
+	begin := time.Now()
+	again := &counter{}
+	r, err = Open(cfg, again, peer{newHub(), "a"})
+	is.NoErr(err)
+	defer r.Close()
+	is.NoErr(r.Confirm(ctx))
+	t.Logf("restart after 1,000 entries until the first confirmed read: %v", time.Since(begin))
+	is.Equal(again.value(), uint64(1000))
+	is.Equal(again.sum, sm.sum)
+	is.Equal(r.Status().ID, id)
+	is.True(again.restored >= DefaultSnapshotEntries-2) // the founding snapshot and an empty entry count too
+}
+
+// TestGroup guards founding, promotion, writes, hand-over, and the repair of a lost disk followed by
+// the loss of a second member.
+func TestGroup(t *testing.T) {
+	is := is.New(t)
+	h := newHub()
+	initial := []string{"a", "b", "c"}
+	cfg := Config{Initial: initial, Bootstrap: true, SnapshotEntries: 10, TailEntries: 2}
+	machines := map[string]*counter{}
+	for _, addr := range initial {
+		machines[addr] = &counter{}
+		h.open(t, t.TempDir(), addr, machines[addr], cfg)
+	}
+	h.tickUntil(t, func() bool { return h.leader() != nil && voters(h.leader()) == 3 })
+	is.Equal(h.leader(), h.replicas["a"]) // the lowest address founds the group
+	h.propose(t, 30)
+
+	old := h.leader()
+	started := make(chan error, 1)
+	go func() { started <- old.TransferLeadership(context.Background()) }()
+	h.tickUntil(t, func() bool { return len(started) > 0 && h.leader() != nil && h.leader() != old })
+	is.NoErr(<-started)
+	h.propose(t, 5)
+
+	// Host a loses its disk and starts again with Bootstrap set.
+	lost := old.Status().ID
+	h.setDown("a", true)
+	is.NoErr(old.Close())
+	leader := h.leader()
+	removed := make(chan error, 1)
+	go func() { removed <- leader.RemoveMember(context.Background(), lost) }()
+	h.tickUntil(t, func() bool { return len(removed) > 0 })
+	is.NoErr(<-removed)
+	h.setDown("a", false)
+	machines["a"] = &counter{}
+	repaired := h.open(t, t.TempDir(), "a", machines["a"], cfg)
+	h.tickUntil(t, func() bool { return h.leader() != nil && voters(h.leader()) == 3 })
+	is.True(repaired.Status().ID != lost)
+
+	leader = h.leader()
+	h.setDown(leader.cfg.Addr, true)
+	is.NoErr(leader.Close())
+	h.tickUntil(t, func() bool { return h.leader() != nil })
+	h.propose(t, 5)
+	h.tickUntil(t, func() bool { return machines["a"].value() == 40 })
+}
+
+// propose sends proposals one by one while ticks pass.
+func (h *hub) propose(t *testing.T, count int) {
+	t.Helper()
+	for range count {
+		result := make(chan error, 1)
+		leader := h.leader()
+		go func() {
+			_, err := leader.Propose(context.Background(), []byte("x"))
+			if err == nil {
+				err = leader.Confirm(context.Background())
+			}
+			result <- err
+		}()
+		h.tickUntil(t, func() bool { return len(result) > 0 })
+		if err := <-result; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestVerdicts guards against errors that claim NotRun for proposals that may be committed, and
+// against reads at a leader without a quorum.
+func TestVerdicts(t *testing.T) {
+	is := is.New(t)
+	h := newHub()
+	cfg := Config{Initial: []string{"a", "b"}, Bootstrap: true}
+	for _, addr := range cfg.Initial {
+		h.open(t, t.TempDir(), addr, &counter{}, cfg)
+	}
+	h.tickUntil(t, func() bool { return h.leader() != nil && voters(h.leader()) == 2 })
+	leader := h.leader()
+	for addr, r := range h.replicas {
+		if r != leader {
+			_, err := r.Propose(context.Background(), nil)
+			is.Equal(verdict.Of(err), verdict.NotRun)
+			h.setDown(addr, true)
+		}
+	}
+	_, err := leader.Propose(context.Background(), make([]byte, consensus.MaxEntryBytes+1))
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	results := make(chan error, 2)
+	go func() {
+		_, err := leader.Propose(context.Background(), []byte("x"))
+		results <- err
+	}()
+	h.tickUntil(t, func() bool { return len(results) > 0 || leader.Status().Role != consensus.Leader })
+	err = <-results
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	err = leader.Confirm(context.Background())
+	is.Equal(verdict.Of(err), verdict.NotRun)
+}
+
+// brokenFS fails each sync after broken is set.
+type brokenFS struct {
+	wal.OS
+	broken chan struct{}
+}
+
+type brokenFile struct {
+	wal.File
+	broken chan struct{}
+}
+
+func (b brokenFS) Append(name string) (wal.File, error) {
+	f, err := b.OS.Append(name)
+	return brokenFile{f, b.broken}, err
+}
+
+func (b brokenFS) Create(name string) (wal.File, error) {
+	f, err := b.OS.Create(name)
+	return brokenFile{f, b.broken}, err
+}
+
+func (f brokenFile) Sync() error {
+	select {
+	case <-f.broken:
+		return fmt.Errorf("sync failed")
+	default:
+		return f.File.Sync()
+	}
+}
+
+// TestStopsWhenDiskFails guards against a member that goes on after a failed sync.
+func TestStopsWhenDiskFails(t *testing.T) {
+	is := is.New(t)
+	fsys := brokenFS{broken: make(chan struct{})}
+	r, err := Open(Config{Dir: t.TempDir(), Addr: "a", Bootstrap: true, FS: fsys}, &counter{}, peer{newHub(), "a"})
+	is.NoErr(err)
+	_, err = r.Propose(context.Background(), []byte("x"))
+	is.NoErr(err)
+	close(fsys.broken)
+	_, err = r.Propose(context.Background(), []byte("y"))
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	<-r.Done()
+	is.True(r.Status().Err != nil)
+	is.Equal(r.Status().Role, consensus.Follower)
+	is.Equal(verdict.Of(r.Confirm(context.Background())), verdict.NotRun)
+	is.NoErr(r.Close())
+}
+
+// FuzzReceive guards the decoder and consensus against batches that no correct member sends.
+func FuzzReceive(f *testing.F) {
+	snapshot := consensus.Snapshot{Index: 5, Term: 2, Members: []Member{{ID: 9, Addr: "x"}}}
+	seeds := []consensus.Message{
+		{Kind: consensus.MsgAppend, From: 2, To: 1, Term: 3, Index: 1, LogTerm: 1, Entries: []consensus.Entry{{Index: 2, Term: 3}}},
+		{Kind: consensus.MsgSnapshot, From: 2, To: 1, Term: 3, Snapshot: &snapshot},
+		{Kind: consensus.MsgVote, From: 2, To: 1, Term: 4, Index: 9, LogTerm: 3},
+		{Kind: consensus.MsgAppendReply, From: 2, To: 1, Term: 2, Reject: true, Index: 1 << 63, Hint: 1<<64 - 1},
+	}
+	for _, m := range seeds {
+		batch, err := wire.Marshal(envelope{Version: batchVersion, From: Member{ID: 2, Addr: "b"}, Messages: []consensus.Message{m}})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(batch)
+	}
+	f.Fuzz(func(t *testing.T, batch []byte) {
+		e, err := decodeBatch(batch)
+		if err != nil {
+			return
+		}
+		members := []Member{{ID: 1, Addr: "a"}, {ID: 2, Addr: "b"}}
+		for _, leads := range []bool{false, true} {
+			n, err := consensus.New(consensus.Config{
+				ID: 1, Hard: consensus.HardState{Term: 1}, Snapshot: consensus.Snapshot{Index: 1, Term: 1, Members: members},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if leads {
+				makeLeader(n)
+			}
+			for _, m := range e.Messages {
+				_ = n.Step(m)
+				n.Ready()
+				n.Advance()
+			}
+			n.Tick()
+			n.Ready()
+		}
+	})
+}
+
+func makeLeader(n *consensus.Node) {
+	for n.Status().Role != consensus.Leader {
+		n.Tick()
+		r := n.Ready()
+		n.Advance()
+		for _, m := range r.Messages {
+			_ = n.Step(consensus.Message{Kind: m.Kind + 1, From: m.To, To: m.From, Term: m.Term})
+		}
+	}
+}
+
+// BenchmarkConfirm measures confirmed reads by 100 callers of a group of three.
+func BenchmarkConfirm(b *testing.B) {
+	h := newHub()
+	cfg := Config{Initial: []string{"a", "b", "c"}, Bootstrap: true}
+	for _, addr := range cfg.Initial {
+		c := cfg
+		c.Dir, c.Addr = b.TempDir(), addr
+		r, err := Open(c, &counter{}, peer{h, addr})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer r.Close()
+		h.mu.Lock()
+		h.replicas[addr] = r
+		h.mu.Unlock()
+	}
+	for h.leader() == nil || voters(h.leader()) < 3 {
+		time.Sleep(tickInterval) // real time, since this is a measurement
+	}
+	leader := h.leader()
+	b.SetParallelism(10)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if err := leader.Confirm(context.Background()); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
