Check that callers get their own answers in random mixtures

Cause: no test covered batches, errors, refusals and lost streams of concurrent callers together. Change: a seeded test (PCG 7, caller number) with eight callers of 60 batches each.

--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -304,3 +305,76 @@
 	fx.Equal(c, "08P01")
 	fx.Equal(fx.owner.writes.Load(), int64(0))
 }
+
+// Guards against responses that reach another caller, request or transaction, in random mixtures of
+// batches, errors, refusals and lost streams.
+func TestCallersGetTheirOwnAnswers(t *testing.T) {
+	fx := start(t, nil)
+	var wg sync.WaitGroup
+	for id := range 8 {
+		rnd := rand.New(rand.NewPCG(7, uint64(id)))
+		wg.Go(func() {
+			conn, err := pgx.Connect(bg, fx.url(fx.key, ""))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close(bg)
+			for n := range 60 {
+				if err := randomBatch(conn, rnd, fmt.Sprintf("c%d-%d", id, n)); err != nil {
+					t.Errorf("seed 7/%d, batch %d: %v", id, n, err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// randomBatch sends statements in one batch and checks that answers match up to the first failure.
+func randomBatch(conn *pgx.Conn, rnd *rand.Rand, label string) error {
+	kinds := []string{"select %s", "select %s $1", "select %s", "fail %s", "listen %s", "break %s", "begin %s", "rollback"}
+	b := &pgx.Batch{}
+	var sent []string
+	for i := range 1 + rnd.IntN(6) {
+		sql := strings.Replace(kinds[rnd.IntN(len(kinds))], "%s", fmt.Sprintf("%s-%d", label, i), 1)
+		sent = append(sent, sql)
+		if strings.Contains(sql, "$1") {
+			b.Queue(sql, "arg")
+		} else {
+			b.Queue(sql)
+		}
+	}
+	mode := []pgx.QueryExecMode{pgx.QueryExecModeExec, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeCacheStatement}
+	conn.Config().DefaultQueryExecMode = mode[rnd.IntN(len(mode))]
+	res := conn.SendBatch(bg, b)
+	for _, sql := range sent {
+		if !strings.HasPrefix(sql, "select") {
+			if _, err := res.Exec(); err != nil {
+				break
+			}
+			continue
+		}
+		var got string
+		if err := res.QueryRow().Scan(&got); err != nil {
+			break
+		}
+		if got != strings.TrimPrefix(sql, "select ") {
+			return fmt.Errorf("%q was answered by %q", sql, got)
+		}
+	}
+	_ = res.Close()
+	if conn.IsClosed() {
+		return fmt.Errorf("connection was closed after %q", sent)
+	}
+	if conn.PgConn().TxStatus() != 'I' {
+		if _, err := conn.Exec(bg, "rollback"); err != nil {
+			return err
+		}
+	}
+	var got string
+	if err := conn.QueryRow(bg, "select "+label).Scan(&got); err != nil || got != label {
+		return fmt.Errorf("after %q: %q, %v", sent, got, err)
+	}
+	return nil
+}
