Run the whole path: citrond, its daemon and the demo

Cause: the parts have to answer a real driver as one system. Change: daemon assembles settings, transport, agent, owner, entry, control and admin; citrond runs a host or the demo; tests drive the demo with pgx through failures of the primary, the owner, control, and a graceful shutdown. Conclusion: no acknowledged booking was lost and no NotRun had run.

--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"github.com/citronrun/citronrun/internal/admin"
+	"github.com/citronrun/citronrun/internal/agent"
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/entry"
+	"github.com/citronrun/citronrun/internal/owner"
+	"github.com/citronrun/citronrun/internal/pki"
+	"github.com/citronrun/citronrun/internal/settings"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// directory adapts the agent to the interface of the entry package.
+type directory struct{ *agent.Agent }
+
+// Catalog returns the newest configuration. Before the first one it is an empty one, which knows no
+// team and no service.
+func (d directory) Catalog() entry.Snapshot {
+	if s := d.Agent.Catalog(); s != nil {
+		return s
+	}
+	return emptySnapshot
+}
+
+// ownerCatalog adapts the agent to the interface of the owner package.
+type ownerCatalog struct{ *agent.Agent }
+
+// Service returns a service by name.
+func (c ownerCatalog) Service(name string) (catalog.Service, bool) {
+	return directory(c).Catalog().Service(name)
+}
+
+// Rule returns the outcome of all policies for a team and a service.
+func (c ownerCatalog) Rule(team, service string) catalog.Rule {
+	return directory(c).Catalog().Rule(team, service)
+}
+
+var emptySnapshot = mustEmptySnapshot()
+
+func mustEmptySnapshot() *catalog.Snapshot {
+	s, err := catalog.NewSnapshot(catalog.Catalog{})
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// buildEntry prepares the owner of services and the listener for callers.
+func (d *Daemon) buildEntry(context.Context) error {
+	if !d.settings.Has(settings.RoleEntry) {
+		return nil
+	}
+	f, err := d.factory()
+	if err != nil {
+		return err
+	}
+	d.buildOwner(f)
+	callerTLS, err := serverTLS(d.settings.CallerTLS)
+	if err != nil {
+		return fmt.Errorf("caller_tls: %w", err)
+	}
+	tx := &transactor{host: d.settings.Host, routes: d.agent, endpoint: d.endpoint, owner: d.owner}
+	limits := d.settings.Limits
+	d.entry, err = entry.New(entry.Config{
+		Place:            d.settings.Place,
+		Transactor:       tx,
+		Directory:        directory{d.agent},
+		Canceler:         tx,
+		TLS:              callerTLS,
+		Logger:           d.logger,
+		Metrics:          d.metrics,
+		MaxConnections:   limits.Connections,
+		AuthTimeout:      limits.AuthTimeout.Value(),
+		WriteTimeout:     limits.WriteTimeout.Value(),
+		StatementTimeout: limits.QueueTimeout.Value(),
+		RetryTimeout:     limits.QueueTimeout.Value(),
+	})
+	if err != nil {
+		return err
+	}
+	if d.callers, err = net.Listen("tcp", d.settings.Listen.Callers); err != nil {
+		return fmt.Errorf("listen.callers: %w", err)
+	}
+	return nil
+}
+
+func (d *Daemon) buildOwner(f owner.Factory) {
+	d.owner = owner.New(owner.Config{
+		Catalog:     ownerCatalog{d.agent},
+		Factory:     f,
+		LeaseValid:  d.agent.LeaseValid,
+		ReturnLease: d.agent.Return,
+		Logger:      d.logger,
+	})
+	d.agent.OnGrant(d.owner.OnGrant)
+	d.agent.OnRevoke(d.owner.OnRevoke)
+	d.agent.Report(d.owner.Reports)
+	d.endpoint.Handle(wire.KindTx, serveTx(d.owner))
+	d.endpoint.Handle(wire.KindCancel, serveCancel(d.owner))
+}
+
+// factory returns the maker of connections to targets.
+func (d *Daemon) factory() (*targetFactory, error) {
+	t := d.settings.Targets
+	f := &targetFactory{
+		user:     t.User,
+		password: d.options.TargetPassword,
+		warm:     t.Warm,
+		timeout:  t.Timeout.Value(),
+		logger:   d.logger,
+	}
+	if t.PasswordFile != "" {
+		password, err := os.ReadFile(t.PasswordFile)
+		if err != nil {
+			return nil, fmt.Errorf("targets.password_file: %w", err)
+		}
+		f.password = strings.TrimSpace(string(password))
+	}
+	if t.CA == "" {
+		return f, nil
+	}
+	pem, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, fmt.Errorf("targets.ca: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, errors.New("targets.ca: the file holds no certificate in PEM form")
+	}
+	f.tls = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots}
+	return f, nil
+}
+
+func serverTLS(pair *settings.KeyPair) (*tls.Config, error) {
+	if pair == nil {
+		return nil, nil
+	}
+	return pki.ServerConfigFromFiles(pair.Cert, pair.Key)
+}
+
+// listenAdmin starts the HTTP server, so that health can be seen from the beginning.
+func (d *Daemon) listenAdmin(context.Context) error {
+	conf, err := serverTLS(d.settings.Admin.TLS)
+	if err != nil {
+		return fmt.Errorf("admin.tls: %w", err)
+	}
+	var tokens *admin.Tokens
+	if file := d.settings.Admin.TokensFile; file != "" {
+		if tokens, err = admin.LoadTokens(file); err != nil {
+			return fmt.Errorf("admin.tokens_file: %w", err)
+		}
+	}
+	l, err := net.Listen("tcp", d.settings.Listen.Admin)
+	if err != nil {
+		return fmt.Errorf("listen.admin: %w", err)
+	}
+	d.adminAddr = l.Addr()
+	if conf != nil {
+		l = tls.NewListener(l, conf)
+	}
+	d.admin = admin.New(admin.Config{
+		Host:    d.settings.Host,
+		Backend: d.agent,
+		Ready:   d.Ready,
+		State:   d.stateParts(),
+		Tokens:  tokens,
+		Metrics: func() []*metrics.Set { return []*metrics.Set{d.metrics} },
+		Logger:  log.With(d.logger, "part", "admin"),
+	})
+	d.start("admin", func() error { return d.admin.Serve(l) })
+	return nil
+}
+
+// stateParts returns the parts of the state dump.
+func (d *Daemon) stateParts() map[string]func() any {
+	parts := map[string]func() any{"agent": d.agent.State}
+	if d.entry != nil {
+		parts["entry"] = d.entry.State
+		parts["owner"] = d.owner.State
+	}
+	if d.replica != nil {
+		parts["replica"] = func() any { return d.replica.Status() }
+		parts["control"] = func() any { return d.control.Status() }
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/daemon/path_test.go
@@ -0,0 +1,323 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/settings"
+	"github.com/citronrun/citronrun/internal/standin"
+	"github.com/citronrun/citronrun/internal/verdict"
+)
+
+// Bounds from the stated targets.
+const (
+	failoverBound   = 17 * time.Second
+	withdrawalBound = 6 * time.Second
+)
+
+func startDemo(t *testing.T) (*demo, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	d := &demo{logger: log.NewNopLogger(), keys: map[string]string{}}
+	t.Cleanup(func() {
+		cancel()
+		d.killAll()
+		d.cleanUp()
+	})
+	if err := d.start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return d, ctx
+}
+
+// killAll ends the demo without a graceful shutdown.
+func (d *demo) killAll() {
+	for _, a := range d.announcers {
+		a.Close()
+	}
+	for _, e := range d.entries {
+		e.Kill()
+	}
+	if d.control != nil {
+		d.control.Kill()
+	}
+	for _, g := range d.groups {
+		g.Close()
+	}
+}
+
+func (d *demo) connect(ctx context.Context, t *testing.T, team string, host int) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.Connect(ctx, d.url(team, d.entries[host], "bookings"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+// owner returns the number of the entry host that owns the service bookings.
+func (d *demo) owner(t *testing.T) int {
+	t.Helper()
+	r, ok := d.entries[0].agent.Route("bookings")
+	if !ok {
+		t.Fatal("bookings has no owner")
+	}
+	for i, e := range d.entries {
+		if e.settings.Host == r.Owner {
+			return i
+		}
+	}
+	t.Fatalf("unknown owner %q", r.Owner)
+	return 0
+}
+
+func detail(err error) string {
+	if e, ok := errors.AsType[*pgconn.PgError](err); ok {
+		return e.Detail
+	}
+	return ""
+}
+
+// Guards against old data after a write when a session moves between hosts, with replicas 1 s behind,
+// with and without the session token.
+func TestReadYourWritesWhileRoaming(t *testing.T) {
+	is := is.New(t)
+	d, ctx := startDemo(t)
+	for _, s := range d.groups[0].Servers {
+		s.SetLag(20*time.Millisecond, time.Second)
+	}
+	for i := range 12 {
+		id := fmt.Sprint("r", i)
+		writer := d.connect(ctx, t, "clerks", i%3)
+		_, err := writer.Exec(ctx, "INSERT INTO booking (id, visitor, status) VALUES ($1, $2, 'new')", id, "v")
+		is.NoErr(err)
+		reader := d.connect(ctx, t, "clerks", (i+1)%3)
+		var visitor string
+		is.NoErr(reader.QueryRow(ctx, "SELECT visitor FROM booking WHERE id = $1", id).Scan(&visitor))
+		is.Equal(visitor, "v")
+		is.NoErr(reader.Close(ctx))
+		is.NoErr(writer.Close(ctx))
+	}
+}
+
+// Guards against a withdrawn key that goes on working for a connected caller, and against keys that
+// reach targets, dumps or errors.
+func TestWithdrawnKey(t *testing.T) {
+	is := is.New(t)
+	d, ctx := startDemo(t)
+	c := d.connect(ctx, t, "clerks", 1)
+	_, err := c.Exec(ctx, "SELECT count(*) FROM booking")
+	is.NoErr(err)
+
+	admin := d.control.Agent()
+	res, err := admin.Change(ctx, catalog.Change{ID: "w", Base: admin.Catalog().Revision(), Ops: []catalog.Op{
+		{WithdrawKey: &catalog.WithdrawKey{Team: "clerks", ID: "demo"}},
+	}})
+	is.NoErr(err)
+	is.Equal(res.Code, catalog.CodeAccepted)
+	withdrawn := time.Now()
+	for err == nil && time.Since(withdrawn) < withdrawalBound {
+		_, err = c.Exec(ctx, "SELECT count(*) FROM booking")
+	}
+	t.Logf("refused %s after the withdrawal was accepted", time.Since(withdrawn).Round(time.Millisecond))
+	is.True(err != nil)
+	is.Equal(detail(err), "verdict: NotRun")
+	is.True(!strings.Contains(err.Error(), d.keys["clerks"]))
+	_, err = pgx.Connect(ctx, d.url("clerks", d.entries[0], "bookings"))
+	is.True(err != nil)
+
+	other := d.connect(ctx, t, "inspectors", 1) // other teams go on
+	_, err = other.Exec(ctx, "SELECT count(*) FROM booking")
+	is.NoErr(err)
+}
+
+// bookers insert bookings with unique ids through all hosts until stopped. It returns the ids that
+// were acknowledged, those whose outcome is unknown, and the longest time without an acknowledgement.
+type bookers struct {
+	mu           sync.Mutex
+	acknowledged map[string]bool
+	unknown      map[string]bool
+	notRun       map[string]bool
+	last         time.Time
+	gap          time.Duration
+	stop         atomic.Bool
+	wg           sync.WaitGroup
+}
+
+func (d *demo) startBookers(ctx context.Context, n int) *bookers {
+	b := &bookers{acknowledged: map[string]bool{}, unknown: map[string]bool{}, notRun: map[string]bool{}, last: time.Now()}
+	for w := range n {
+		b.wg.Go(func() { b.run(ctx, d, w) })
+	}
+	return b
+}
+
+func (b *bookers) run(ctx context.Context, d *demo, worker int) {
+	var c *pgx.Conn
+	for i := 0; !b.stop.Load() && ctx.Err() == nil; i++ {
+		if c == nil || c.IsClosed() {
+			var err error
+			if c, err = pgx.Connect(ctx, d.url("clerks", d.entries[(worker+i)%len(d.entries)], "bookings")); err != nil {
+				continue
+			}
+		}
+		id := fmt.Sprintf("w%d-%d", worker, i)
+		_, err := c.Exec(ctx, "INSERT INTO booking (id, visitor, status) VALUES ($1, 'v', 'new')", id)
+		b.note(id, err)
+	}
+	if c != nil {
+		_ = c.Close(context.Background())
+	}
+}
+
+func (b *bookers) note(id string, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err == nil:
+		b.acknowledged[id] = true
+		b.gap = max(b.gap, now.Sub(b.last))
+		b.last = now
+	case detail(err) == "verdict: "+verdict.NotRun.String():
+		b.notRun[id] = true
+	default:
+		b.unknown[id] = true
+	}
+}
+
+func (b *bookers) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.acknowledged)
+}
+
+// await waits until n more bookings were acknowledged.
+func (b *bookers) await(t *testing.T, n int, bound time.Duration) {
+	t.Helper()
+	want, deadline := b.count()+n, time.Now().Add(bound)
+	for b.count() < want {
+		if time.Now().After(deadline) {
+			t.Fatalf("no %d acknowledged bookings within %s", n, bound)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// check compares what the callers were told with the rows of the group's primary.
+func (b *bookers) check(ctx context.Context, t *testing.T, d *demo, host int) {
+	t.Helper()
+	b.stop.Store(true)
+	b.wg.Wait()
+	c := d.connect(ctx, t, "coordinators", host)
+	_, err := c.Exec(ctx, "SET citron.read = 'current'")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, err := c.Query(ctx, "SELECT id FROM booking")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	if err != nil {
+		t.Fatal(err)
+	}
+	have := map[string]bool{}
+	for _, id := range stored {
+		have[id] = true
+		if b.notRun[id] {
+			t.Errorf("booking %s was reported as NotRun but is stored", id)
+		}
+	}
+	for id := range b.acknowledged {
+		if !have[id] {
+			t.Errorf("acknowledged booking %s is lost", id)
+		}
+	}
+	t.Logf("%d acknowledged, %d unknown, %d not run, longest gap %s",
+		len(b.acknowledged), len(b.unknown), len(b.notRun), b.gap.Round(time.Millisecond))
+	if b.gap > failoverBound {
+		t.Errorf("gap %s exceeds %s", b.gap, failoverBound)
+	}
+}
+
+// Guards against lost acknowledgements and false refusals when the primary dies, is isolated or
+// pauses, and against a gap above the bound.
+func TestPrimaryFails(t *testing.T) {
+	causes := map[string]func(*standin.Server){
+		"killed":   (*standin.Server).Kill,
+		"isolated": func(s *standin.Server) { s.Isolate(true) },
+		"paused":   (*standin.Server).Pause,
+	}
+	for name, cause := range causes {
+		t.Run(name, func(t *testing.T) {
+			d, ctx := startDemo(t)
+			b := d.startBookers(ctx, 6)
+			b.await(t, 50, 5*time.Second)
+			cause(d.groups[0].Primary())
+			b.await(t, 50, failoverBound)
+			b.check(ctx, t, d, 0)
+		})
+	}
+}
+
+// Guards against lost acknowledgements when the owner of a service dies, and against a gap above
+// the bound.
+func TestOwnerKilled(t *testing.T) {
+	d, ctx := startDemo(t)
+	b := d.startBookers(ctx, 6)
+	b.await(t, 50, 5*time.Second)
+	victim := d.owner(t)
+	d.entries[victim].Kill()
+	b.await(t, 50, failoverBound)
+	b.check(ctx, t, d, (victim+1)%3)
+}
+
+// Guards against requests that are cut by a graceful shutdown of the owner.
+func TestGracefulShutdownCutsNoRequest(t *testing.T) {
+	is := is.New(t)
+	d, ctx := startDemo(t)
+	b := d.startBookers(ctx, 6)
+	b.await(t, 50, 5*time.Second)
+	victim := d.owner(t)
+	bounded, cancel := context.WithTimeout(ctx, demoShutdown)
+	defer cancel()
+	is.NoErr(d.entries[victim].Shutdown(bounded))
+	b.await(t, 50, failoverBound)
+	b.check(ctx, t, d, (victim+1)%3)
+	is.Equal(len(b.unknown), 0)
+}
+
+// Guards against acknowledgements or configuration that are lost when the control leader restarts.
+func TestControlRestart(t *testing.T) {
+	is := is.New(t)
+	d, ctx := startDemo(t)
+	b := d.startBookers(ctx, 3)
+	b.await(t, 20, 5*time.Second)
+	addr, dir := d.control.PeerAddr(), d.dir
+	revision := d.control.Agent().Catalog().Revision()
+	d.control.Kill()
+	s := d.settings("control-1", settings.RoleControl)
+	s.Listen.Peers = addr
+	s.DataDir = dir
+	s.Bootstrap = true
+	var err error
+	d.control, err = d.host(s)
+	is.NoErr(err)
+	b.await(t, 50, failoverBound)
+	b.check(ctx, t, d, 0)
+	is.True(d.entries[0].agent.Catalog().Revision() >= revision)
+}
--- /dev/null
+++ b/internal/daemon/tasks.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+)
+
+// taskGroup waits for goroutines within a bound.
+type taskGroup struct{ wg sync.WaitGroup }
+
+// Go runs f in a goroutine of the group.
+func (g *taskGroup) Go(f func()) { g.wg.Go(f) }
+
+// Wait returns when all goroutines have ended or ctx ends.
+func (g *taskGroup) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		g.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/daemon/transactor.go
@@ -0,0 +1,162 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+
+	"github.com/citronrun/citronrun/internal/transport"
+	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// routes tells which host owns a service.
+type routes interface {
+	Route(service string) (wire.Route, bool)
+}
+
+// localOwner serves transactions of services that this host owns.
+type localOwner interface {
+	Serve(ctx context.Context, req wire.TxRequest, stream io.ReadWriteCloser)
+	ServeCancel(c wire.Cancel)
+}
+
+// transactor opens transactions at the owner of a service: over QUIC, or in process when this host
+// is the owner.
+type transactor struct {
+	host     string
+	routes   routes
+	endpoint *transport.Endpoint
+	owner    localOwner
+}
+
+// Begin sends the request and the first frames to the owner and waits until it has admitted them.
+// The returned stream carries PostgreSQL frames. Errors are *verdict.Error.
+func (t *transactor) Begin(ctx context.Context, req wire.TxRequest, first []byte) (io.ReadWriteCloser, error) {
+	route, ok := t.routes.Route(req.Service)
+	if !ok || route.Owner == "" {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no owner at present", req.Service)
+	}
+	req.Epoch = route.Epoch
+	if route.Owner == t.host {
+		return t.beginLocal(ctx, req, first)
+	}
+	return t.beginRemote(ctx, route.Addr, req, first)
+}
+
+func (t *transactor) beginLocal(ctx context.Context, req wire.TxRequest, first []byte) (io.ReadWriteCloser, error) {
+	ours, theirs := newPipe()
+	if _, err := ours.Write(first); err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "open local stream: %w", err)
+	}
+	// The transaction outlives the call; closing the stream ends it.
+	go t.owner.Serve(context.WithoutCancel(ctx), req, theirs)
+	return awaitReply(ctx, ours, func() { _ = ours.Close() })
+}
+
+func (t *transactor) beginRemote(ctx context.Context, addr string, req wire.TxRequest, first []byte) (io.ReadWriteCloser, error) {
+	s, err := t.endpoint.Open(ctx, addr, wire.KindTx)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "owner of service %q is unreachable: %w", req.Service, err)
+	}
+	if err := wire.Write(s, req); err != nil {
+		s.Reset()
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "send to the owner of service %q: %w", req.Service, err)
+	}
+	if _, err := s.Write(first); err != nil {
+		s.Reset()
+		return nil, unknown(err) // the frames may have arrived, and the owner may have acted on them
+	}
+	return awaitReply(ctx, &remoteStream{Stream: s}, s.Reset)
+}
+
+// awaitReply reads the owner's reply. Abort ends the stream when ctx does.
+func awaitReply(ctx context.Context, s io.ReadWriteCloser, abort func()) (io.ReadWriteCloser, error) {
+	stop := context.AfterFunc(ctx, abort)
+	var reply wire.TxReply
+	err := wire.Read(s, &reply, wire.MaxMessageBytes)
+	stop()
+	if err != nil {
+		abort()
+		return nil, unknown(err)
+	}
+	if !reply.Admitted {
+		_ = s.Close()
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Code: reply.Code, Message: reply.Message}
+	}
+	return s, nil
+}
+
+func unknown(err error) error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeOutcomeUnknown, "connection to the owner was lost before its answer: %w", err)
+}
+
+// Cancel asks the owner to cancel the running statement of a transaction. It is best effort.
+func (t *transactor) Cancel(ctx context.Context, c wire.Cancel) error {
+	route, ok := t.routes.Route(c.Service)
+	if !ok || route.Owner == "" {
+		return fmt.Errorf("service %q has no owner at present", c.Service)
+	}
+	if route.Owner == t.host {
+		t.owner.ServeCancel(c)
+		return nil
+	}
+	s, err := t.endpoint.Open(ctx, route.Addr, wire.KindCancel)
+	if err != nil {
+		return err
+	}
+	if err := wire.Write(s, c); err != nil {
+		s.Reset()
+		return err
+	}
+	return s.CloseWrite()
+}
+
+// remoteStream resets the stream when it is closed before the owner has ended it, so that the owner
+// learns that the caller is gone.
+type remoteStream struct {
+	transport.Stream
+	ended atomic.Bool
+}
+
+func (s *remoteStream) Read(p []byte) (int, error) {
+	n, err := s.Stream.Read(p)
+	if errors.Is(err, io.EOF) {
+		s.ended.Store(true)
+	}
+	return n, err
+}
+
+func (s *remoteStream) Close() error {
+	if s.ended.Load() {
+		return s.Stream.Close()
+	}
+	s.Stream.Reset()
+	return nil
+}
+
+// serveTx handles a transaction that another entry host sent.
+func serveTx(owner localOwner) func(ctx context.Context, peer string, s transport.Stream) {
+	return func(ctx context.Context, _ string, s transport.Stream) {
+		var req wire.TxRequest
+		if err := wire.Read(s, &req, wire.MaxMessageBytes); err != nil {
+			s.Reset()
+			return
+		}
+		owner.Serve(ctx, req, s)
+	}
+}
+
+// serveCancel handles a cancel request that another entry host sent.
+func serveCancel(owner localOwner) func(ctx context.Context, peer string, s transport.Stream) {
+	return func(_ context.Context, _ string, s transport.Stream) {
+		var c wire.Cancel
+		if err := wire.Read(s, &c, wire.MaxMessageBytes); err != nil {
+			s.Reset()
+			return
+		}
+		owner.ServeCancel(c)
+	}
+}
