--- /dev/null
+++ b/internal/replica/bench_test.go
@@ -0,0 +1,38 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// BenchmarkConfirm measures confirmed reads by 100 callers of a group of three.
+func BenchmarkConfirm(b *testing.B) {
+	h := newHub()
+	cfg := Config{Initial: []string{"a", "b", "c"}, Bootstrap: true}
+	for _, addr := range cfg.Initial {
+		c := cfg
+		c.Dir, c.Addr = b.TempDir(), addr
+		r, err := Open(c, &counter{}, peer{h, addr})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer r.Close()
+		h.mu.Lock()
+		h.replicas[addr] = r
+		h.mu.Unlock()
+	}
+	for h.leader() == nil || voters(h.leader()) < 3 {
+		time.Sleep(tickInterval) // real time, since this is a measurement
+	}
+	leader := h.leader()
+	b.SetParallelism(10)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if err := leader.Confirm(context.Background()); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
