Avoid refusals right after a change of leader, and uneven first assignments

Cause: in a trial with three control members, a request of one token waited for the end of the quarantine and was then refused, because the new leader's bucket starts empty; the first host to renew got all services. Change: Take asks again after a quarantine; a leader hears hosts for 0.7 s before it assigns services that never had an owner. Conclusion: TestNoQuorum covers the former.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -361,6 +361,7 @@
 		c.log.term = 2
 		c.log.since = time.Now()
 	})
+	is.NoErr(c.agents[0].Take(t.Context(), "t", 1)) // it waits for the end of the quarantine
 	eventually(t, "the new leader renews the recorded owner", func() bool { return len(c.holders("s")) == 1 })
 	is.Equal(c.log.machine.Service("s").Owner.Epoch, uint64(1))
 }
--- a/internal/agent/take.go
+++ b/internal/agent/take.go
@@ -43,6 +43,7 @@
 	if a.spend(team, n) {
 		return nil
 	}
+	quarantine := false // the bucket of a new leader starts empty; then one empty answer proves nothing
 	for range maxBorrowTries {
 		f := a.join(team, n)
 		select {
@@ -56,7 +57,8 @@
 		if a.spendAgain(team, n) {
 			return nil
 		}
-		if f.lot.Wait == 0 && f.lot.Tokens == 0 {
+		quarantine = quarantine || f.lot.Wait > 0
+		if f.lot.Tokens == 0 && !quarantine {
 			break
 		}
 		if !pause(ctx, f.lot.Wait) {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -323,6 +323,7 @@
 	for range 2 {
 		s.follow()
 		s.work.Wait()
+		g.clock.Advance(hearHosts)
 		renew(s, "a")
 		s.stepAll()
 		s.work.Wait()
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -14,11 +14,16 @@
 // aliveCacheTime bounds the age of the list of live hosts, which every step of a service needs.
 const aliveCacheTime = 50 * time.Millisecond
 
+// hearHosts is how long a leader waits for renewals of all hosts before it assigns services that
+// never had an owner. Without it the first host to renew would get all of them.
+const hearHosts = 700 * time.Millisecond
+
 // leader holds the tables of one leadership. All fields are guarded by Server.mu.
 type leader struct {
 	term     uint64
 	since    time.Time
 	ready    bool // the barrier is applied
+	readyAt  time.Time
 	table    *lease.Table
 	keeper   *ratelimit.Keeper
 	hosts    map[string]*host
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -189,6 +189,7 @@
 	}
 	_ = level.Info(s.Logger).Log("msg", "leadership taken over", "term", lead.term)
 	lead.ready = true
+	lead.readyAt = s.Clock.Now()
 }
 
 // propose commits a command other than a change. A command without effect is an error.
--- a/internal/control/steps.go
+++ b/internal/control/steps.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/failover"
+	"github.com/citronrun/citronrun/internal/lease"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -58,7 +59,7 @@
 	in := failover.Input{
 		Now:          now,
 		Record:       recordOf(state),
-		Free:         lead.table.Free(now, name, state.Owner),
+		Free:         lead.assignable(now, name, state),
 		Hosts:        lead.alive(s.Machine, now),
 		Databases:    s.Machine.Catalog().Catalog.Services[name].Databases,
 		Places:       make(map[string]string, len(state.Members)),
@@ -73,6 +74,14 @@
 	return in
 }
 
+// assignable reports whether a service may get a new owner.
+func (l *leader) assignable(now time.Time, name string, state Service) bool {
+	if state.Owner == (lease.Owner{}) {
+		return now.Sub(l.readyAt) >= hearHosts
+	}
+	return l.table.Free(now, name, state.Owner)
+}
+
 // moving reports whether any service is changing its owner, so that services are moved for balance
 // one at a time.
 func (l *leader) moving() bool {
