Name the log prefix of each component "part" everywhere

Cause: some packages logged their prefix as component, others as part, so that an operator had to search for both. Change: one name. No behaviour changes. Conclusion: the tests of the four packages pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -74,7 +74,7 @@
 // New returns an agent and registers its handlers for probes and pokes at the transport endpoint, which must
 // not serve yet.
 func New(c Config) *Agent {
-	c.Logger = log.With(c.Logger, "component", "agent")
+	c.Logger = log.With(c.Logger, "part", "agent")
 	a := &Agent{
 		Config:     c,
 		boot:       rand.Text(),
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -86,7 +86,7 @@
 			return catalog.DefaultRate, catalog.DefaultBurst
 		}
 	}
-	c.Logger = log.With(c.Logger, "component", "control")
+	c.Logger = log.With(c.Logger, "part", "control")
 	s := &Server{Config: c}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.confirmer.confirm = s.Log.Confirm
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -158,7 +158,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = log.NewNopLogger()
 	}
-	cfg.Logger = log.With(cfg.Logger, "component", "replica")
+	cfg.Logger = log.With(cfg.Logger, "part", "replica")
 }
 
 // randomID returns a random number other than 0.
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -79,7 +79,7 @@
 		transport: &quic.Transport{Conn: socket},
 		dialTLS:   dialTLS,
 		quic:      quicConfig(),
-		logger:    log.With(logger, "component", "transport"),
+		logger:    log.With(logger, "part", "transport"),
 		handlers:  map[wire.Kind]Handler{},
 		dials:     map[string]*dial{},
 	}
