--- /dev/null
+++ b/bench/internal/history/check_test.go
@@ -0,0 +1,228 @@
+package history
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var generous = map[string]Limit{
+	"team0": {Rate: 1000, Burst: 100},
+	"team1": {Rate: 1000, Burst: 100},
+	"team2": {Rate: 1000, Burst: 100},
+}
+
+// Guards against false alarms on correct histories.
+func TestCorrectHistoryPasses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := generate(rapid.Uint64().Draw(t, "seed"), 300)
+		r := Check(w.events, w.final(), generous)
+		if !r.OK() || len(r.Failures) > 0 {
+			t.Fatalf("%+v", r)
+		}
+	})
+}
+
+func isInsert(e Event) bool {
+	return e.Op == Insert && e.Outcome == OK && e.RequestKey == ""
+}
+
+func isNewTxRow(e Event) bool {
+	return e.Op == Tx && e.Outcome == OK && e.Version == 1
+}
+
+func isWrite(e Event) bool { return e.Op != Read && e.Outcome == OK }
+
+func position(f Final, row string) int {
+	return slices.IndexFunc(f["rota"], func(r Row) bool { return r.ID == row })
+}
+
+func drop(f Final, row string) {
+	i := position(f, row)
+	f["rota"] = slices.Delete(f["rota"], i, i+1)
+}
+
+// staleRead appends a read of the version before an acknowledged write, long after it.
+func staleRead(w *world, mode Mode) {
+	e := w.events[find(w.events, isWrite)]
+	e.Op = Read
+	e.Mode = mode
+	e.MaxAge = 20 * ms
+	e.Version--
+	e.Tag, e.Booking, e.RequestKey = "", "", ""
+	e.Start = e.End + time.Second
+	e.End = e.Start + ms
+	w.events = append(w.events, e)
+}
+
+var mutations = map[string]struct {
+	mutate  func(w *world, f Final)
+	counter func(r Report) int
+}{
+	"drop an acknowledged booking": {
+		func(w *world, f Final) { drop(f, w.events[find(w.events, isInsert)].Row) },
+		func(r Report) int { return r.LostAcknowledged },
+	},
+	"lose an acknowledged update": {
+		func(w *world, f Final) {
+			e := w.events[find(w.events, isWrite)]
+			f["rota"][position(f, e.Row)].Version = e.Version - 1
+		},
+		func(r Report) int { return r.LostAcknowledged },
+	},
+	"acknowledge one version twice": {
+		func(w *world, f Final) {
+			e := w.events[find(w.events, isWrite)]
+			e.Op, e.Booking, e.RequestKey = Update, "", ""
+			w.events = append(w.events, e)
+		},
+		func(r Report) int { return r.LostAcknowledged },
+	},
+	"duplicate a booking": {
+		func(w *world, f Final) {
+			row := f["rota"][position(f, w.events[find(w.events, isInsert)].Row)]
+			row.ID += "-copy"
+			f["rota"] = append(f["rota"], row)
+		},
+		func(r Report) int { return r.DuplicateBookings },
+	},
+	"run a keyed request twice": {
+		func(w *world, f Final) {
+			e := w.events[find(w.events, func(e Event) bool { return e.Outcome == OK && e.RequestKey != "" })]
+			e.Version++
+			w.events = append(w.events, e)
+		},
+		func(r Report) int { return r.RepeatedRequests },
+	},
+	"repeat an update": {
+		func(w *world, f Final) {
+			e := w.events[find(w.events, isNewTxRow)]
+			for i := range w.events {
+				if w.events[i].Row == e.Row && w.events[i].Op != Read {
+					w.events[i].Outcome = OK
+				}
+			}
+			f["rota"][position(f, e.Row)].Version += 100
+		},
+		func(r Report) int { return r.RepeatedRequests },
+	},
+	"read an old version in session mode": {
+		func(w *world, f Final) { staleRead(w, ModeSession) },
+		func(r Report) int { return r.StaleReads },
+	},
+	"read an old version in current mode": {
+		func(w *world, f Final) { staleRead(w, ModeCurrent) },
+		func(r Report) int { return r.StaleReads },
+	},
+	"read an old version in max_age mode": {
+		func(w *world, f Final) { staleRead(w, ModeMaxAge) },
+		func(r Report) int { return r.StaleReads },
+	},
+	"read backwards in a session": {
+		func(w *world, f Final) {
+			e := w.events[find(w.events, isWrite)]
+			e.Session = "reader"
+			e.Op = Read
+			e.Mode = ModeSession
+			e.Start = e.End + time.Second
+			e.End = e.Start + ms
+			later := e
+			later.Start, later.End = e.End+ms, e.End+2*ms
+			later.Version--
+			later.Tag = ""
+			w.events = append(w.events, e, later)
+		},
+		func(r Report) int { return r.StaleReads },
+	},
+	"read an unwritten version in current mode": {
+		func(w *world, f Final) {
+			staleRead(w, ModeCurrent)
+			w.events[len(w.events)-1].Version += 100
+		},
+		func(r Report) int { return r.NotLinearizable },
+	},
+	"tag a row with another transaction": {
+		func(w *world, f Final) {
+			e := w.events[find(w.events, isNewTxRow)]
+			f["rota"][position(f, e.Row)].Tag = w.events[find(w.events, isInsert)].Tag
+		},
+		func(r Report) int { return r.MixedTransactions },
+	},
+	"keep a part of a transaction": {
+		func(w *world, f Final) { drop(f, w.events[find(w.events, isNewTxRow)].Row) },
+		func(r Report) int { return r.MixedTransactions },
+	},
+	"show a part of a transaction in a snapshot": {
+		func(w *world, f Final) {
+			e := w.events[find(w.events, isNewTxRow)]
+			e.Op, e.Mode, e.MaxAge, e.Snapshot = Read, ModeMaxAge, time.Hour, "snapshot"
+			other := e
+			other.Row = w.events[find(w.events, func(o Event) bool {
+				return o.Tag == e.Tag && o.Row != e.Row && isNewTxRow(o)
+			})].Row
+			other.Version, other.Tag = Absent, ""
+			w.events = append(w.events, e, other)
+		},
+		func(r Report) int { return r.MixedTransactions },
+	},
+	"run a booking reported as not run": {
+		func(w *world, f Final) { w.events[find(w.events, isInsert)].Outcome = NotRun },
+		func(r Report) int { return r.NotRunButRan },
+	},
+	"run a transaction reported as not run": {
+		func(w *world, f Final) {
+			tag := w.events[find(w.events, isNewTxRow)].Tag
+			for i := range w.events {
+				if w.events[i].Tag == tag && w.events[i].Op == Tx {
+					w.events[i].Outcome = NotRun
+				}
+			}
+		},
+		func(r Report) int { return r.NotRunButRan },
+	},
+	"exceed the rate in a short window": {
+		func(w *world, f Final) {
+			e := w.events[find(w.events, func(e Event) bool { return e.Op == Read })]
+			e.Mode, e.MaxAge = ModeMaxAge, time.Hour
+			for range 150 {
+				e.Start += 10 * time.Microsecond
+				e.End = e.Start + ms
+				w.events = append(w.events, e)
+			}
+		},
+		func(r Report) int { return r.OverRate },
+	},
+}
+
+// Guards against a check that passes a history with one violation.
+func TestMutationsAreFound(t *testing.T) {
+	for name, m := range mutations {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				w := generate(rapid.Uint64().Draw(t, "seed"), 150)
+				f := w.final()
+				m.mutate(w, f)
+				r := Check(w.events, f, generous)
+				if m.counter(r) == 0 || r.OK() || len(r.Failures) == 0 {
+					t.Fatalf("not found: %+v", r)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a check that is too slow for the history of a long run.
+func TestLargeHistory(t *testing.T) {
+	is := is.New(t)
+	w := generate(1, 100_000)
+	f := w.final()
+	began := time.Now()
+	r := Check(w.events, f, generous)
+	took := time.Since(began)
+	t.Logf("checked %d events in %v", r.Events, took)
+	is.True(r.OK())
+	is.True(took < 30*time.Second)
+}
--- a/bench/internal/history/config.go
+++ b/bench/internal/history/config.go
@@ -1,6 +1,14 @@
 package history
 
-import "time"
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
 
 // ConfigResult is the response to a configuration change.
 type ConfigResult uint8
@@ -29,14 +37,135 @@
 	// ChangeID is shared by resends.
 	ChangeID string
 	Result   ConfigResult
-	// Revision is the new revision of an accepted change, or the current one of a conflict.
+	// Revision is the new revision of an accepted change, or the current one that a conflict tells.
+	// It is not used for other results.
 	Revision   uint64
 	Start, End time.Duration
 }
 
+// maxConfigDetails limits the events that a detail names.
+const maxConfigDetails = 10
+
+// unknownRevision is the state before the first change whose result tells the revision.
+const unknownRevision int64 = -1
+
 // CheckConfig reports whether the events can be explained by one sequence of changes in which
-// each accepted change follows from its base and resends get the first response. The detail
-// describes what cannot be explained.
+// each accepted change follows directly from its base and resends get the first response. The
+// events must contain every change submitted during the run. The detail describes what can't be
+// explained.
 func CheckConfig(events []ConfigEvent) (ok bool, detail string) {
-	return true, ""
+	events = slices.Clone(events)
+	slices.SortStableFunc(events, func(a, b ConfigEvent) int { return cmp.Compare(a.Start, b.Start) })
+	changes, detail := mergeChanges(events)
+	if detail != "" {
+		return false, detail
+	}
+	if detail := sharedBase(changes); detail != "" {
+		return false, detail
+	}
+	var ops []porcupine.Operation
+	for _, c := range changes {
+		ops = append(ops, operation(c.Start, c.End, configStep(c)))
+	}
+	switch linearize(unknownRevision, ops) {
+	case porcupine.Ok:
+		return true, ""
+	case porcupine.Unknown:
+		return false, "the search for an order of the changes timed out"
+	}
+	return false, "no order explains the changes:" + listChanges(changes)
+}
+
+// mergeChanges joins the submissions of each change to one event. The change was decided after
+// its first submission and before the first response. A submission of the same id with another
+// base is a different change.
+func mergeChanges(events []ConfigEvent) (changes []ConfigEvent, detail string) {
+	type changeKey struct {
+		id   string
+		base uint64
+	}
+	at := map[changeKey]int{}
+	for _, e := range events {
+		if e.Result == ConfigUnknown {
+			e.End = never
+		}
+		k := changeKey{e.ChangeID, e.Base}
+		i, known := at[k]
+		if !known || e.ChangeID == "" {
+			at[k] = len(changes)
+			changes = append(changes, e)
+			continue
+		}
+		first := &changes[i]
+		if e.Result == ConfigUnknown {
+			continue
+		}
+		if first.Result == ConfigUnknown {
+			first.Result = e.Result
+			first.Revision = e.Revision
+		}
+		if first.Result != e.Result || first.Revision != e.Revision {
+			return nil, "a resend got another response:" + listChanges([]ConfigEvent{*first, e})
+		}
+		first.End = min(first.End, e.End)
+	}
+	return changes, ""
+}
+
+// sharedBase finds two accepted changes with the same base or the same id.
+func sharedBase(changes []ConfigEvent) (detail string) {
+	bases := map[uint64]ConfigEvent{}
+	ids := map[string]ConfigEvent{}
+	for _, c := range changes {
+		if c.Result != ConfigAccepted {
+			continue
+		}
+		if other, ok := bases[c.Base]; ok {
+			return "two changes on one base were accepted:" + listChanges([]ConfigEvent{other, c})
+		}
+		if other, ok := ids[c.ChangeID]; ok && c.ChangeID != "" {
+			return "two changes with one id were accepted:" + listChanges([]ConfigEvent{other, c})
+		}
+		bases[c.Base] = c
+		ids[c.ChangeID] = c
+	}
+	return ""
+}
+
+// configStep is the transition of the current revision by a change.
+func configStep(c ConfigEvent) step {
+	base, revision := int64(c.Base), int64(c.Revision)
+	return func(state int64) []int64 {
+		isBase := state == base || state == unknownRevision
+		switch c.Result {
+		case ConfigAccepted:
+			if isBase && revision == base+1 {
+				return []int64{revision}
+			}
+			return nil
+		case ConfigConflict:
+			if state == base || revision == base || state != unknownRevision && state != revision {
+				return nil
+			}
+			return []int64{revision}
+		case ConfigUnknown:
+			if isBase {
+				return []int64{state, base + 1}
+			}
+		}
+		return []int64{state}
+	}
+}
+
+func listChanges(changes []ConfigEvent) string {
+	var b strings.Builder
+	for i, c := range changes {
+		if i == maxConfigDetails {
+			fmt.Fprintf(&b, " and %d more;", len(changes)-i)
+			break
+		}
+		fmt.Fprintf(&b, " change %q by %s on base %d from %v to %v: %s, revision %d;",
+			c.ChangeID, c.Operator, c.Base, c.Start, c.End, c.Result, c.Revision)
+	}
+	return b.String()
 }
--- a/bench/internal/history/report.go
+++ b/bench/internal/history/report.go
@@ -70,5 +70,13 @@
 // Check checks the events of one run against the final state and the limits of the teams.
 func Check(events []Event, final Final, limits map[string]Limit) Report {
 	r := Report{Events: len(events)}
+	x := newIndex(events, final, &r)
+	checkBookings(x, &r)
+	checkRows(x, &r)
+	checkSessions(x, &r)
+	checkAges(x, &r)
+	checkTransactions(x, &r)
+	checkRates(x.events, limits, &r)
+	checkRefusals(x.events, limits, &r)
 	return r
 }
