Keep a session's reads monotonic across replicas

The token after a read was the last sampled position of its target, a lower bound: the target may have applied more by then, and the session's next read could go to a replica that is behind. The token now also names the target and the time of the read. The owner's next regular sample of the target bounds what was seen; until then the session's reads go to the same target or to the primary. No read waits for a further round trip.

TestReadsFollowWrites compared the token of a read with the exact lower bound; it now requires that floor and the named read as well.

--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -321,8 +321,8 @@
 	if !ok || name != pgwire.StatusToken {
 		return
 	}
-	if p, err := position.ParseToken(c.service, value); err == nil {
-		c.st.RaiseFloor(p)
+	if p, seen, err := position.ParseSeenToken(c.service, value); err == nil {
+		c.st.RaiseFloor(p, seen)
 	}
 }
 
--- a/internal/owner/down.go
+++ b/internal/owner/down.go
@@ -18,6 +18,7 @@
 	holding   bool   // all further responses go to held
 	commitTag bool   // held contains the completion of a COMMIT
 	relayed   bool   // something was written to the caller
+	reported  bool   // the target reported its position since the last ReadyForQuery
 }
 
 func (d *downState) reset() { *d = downState{out: d.out[:0], held: d.held[:0]} }
@@ -67,6 +68,7 @@
 		return t.ready(f)
 	case pgwire.ParameterStatus:
 		if name, _, ok := pgwire.ParseStatus(f); ok && name == pgwire.StatusPosition {
+			t.d.reported = true
 			return true // between target and owner only
 		}
 	case pgwire.CommandComplete:
@@ -157,8 +159,9 @@
 func (t *tx) ready(f pgwire.Frame) bool {
 	status := t.p.conn.TxStatus()
 	frame := append([]byte(nil), f...) // the connection may be given back before it is relayed
-	reports := !t.p.conn.Position().IsZero()
-	pos := t.committed(t.p.conn.Position())
+	at := t.p.conn.Position()
+	reports := !at.IsZero()
+	pos := t.committed(at)
 	ended := t.settleAtReady()
 	if ended {
 		t.detach()
@@ -177,8 +180,9 @@
 	t.d.out = append(t.d.out, t.d.held...)
 	t.d.held, t.d.holding, t.d.commitTag = t.d.held[:0], false, false
 	if status == pgwire.TxIdle {
-		t.d.out = pgwire.AppendStatus(t.d.out, pgwire.StatusToken, t.token(pos))
+		t.d.out = pgwire.AppendStatus(t.d.out, pgwire.StatusToken, t.token(pos, at))
 	}
+	t.d.reported = false
 	t.d.out = append(t.d.out, frame...)
 	return t.flush() && !ended
 }
@@ -229,6 +233,10 @@
 	_ = t.s.m.logger.Log("msg", "transaction failed", "service", t.s.name, "team", t.job.team,
 		"session", t.job.req.Session, "seq", t.job.req.Seq, "code", e.Code, "verdict", e.Verdict, "err", err)
 	countRefusal(e.Code)
+	if t.d.relayed {
+		req := t.job.req
+		t.d.out = pgwire.AppendStatus(t.d.out, pgwire.StatusToken, position.SeenToken(t.s.name, req.Floor, t.addSeen(req.Seen)))
+	}
 	t.d.out = pgwire.AppendError(t.d.out, e)
 	t.d.out = pgwire.AppendReady(t.d.out, pgwire.TxIdle)
 	t.flush()
--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -79,7 +79,8 @@
 	if k.failed == nil {
 		t.d.out = pgwire.Append(t.d.out, pgwire.CommandComplete, append([]byte(k.tag), 0))
 	}
-	t.d.out = pgwire.AppendStatus(t.d.out, pgwire.StatusToken, t.token(pos))
+	t.d.reported = !pos.IsZero()
+	t.d.out = pgwire.AppendStatus(t.d.out, pgwire.StatusToken, t.token(pos, pos))
 	t.d.out = pgwire.AppendReady(t.d.out, pgwire.TxIdle)
 	t.flush()
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,7 +26,7 @@
 		is.Equal(r, result{tags: []string{"INSERT 0 1"}, token: "s:1/11", status: 'I'})
 		r = h.run(read, "SELECT 3")
 		is.Equal(r.rows, 3)
-		is.Equal(r.token, "s:1/11")
+		is.True(strings.HasPrefix(r.token, "s:1/11@"))
 		is.Equal(len(h.targets["a"].statement), 1) // the read ran at a replica
 		h.edit(func() { h.targets["b"].lag, h.targets["c"].lag = true, true })
 		p := position.Position{Term: 1, Offset: 12}
@@ -34,7 +35,7 @@
 		r = h.run(write, "INSERT") // received by b, applied by none
 		is.Equal(r.token, "s:1/12")
 		r = h.run(read, "SELECT 1")
-		is.Equal(r.token, "s:1/12")
+		is.True(strings.HasPrefix(r.token, "s:1/12@a/1/"))
 		is.Equal(h.targets["a"].statement[2], "SELECT 1")
 	})
 }
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -33,6 +33,7 @@
 	req      wire.TxRequest
 	rule     catalog.Rule
 	team     string
+	arrived  time.Time
 	deadline time.Time // latest start
 }
 
@@ -45,7 +46,8 @@
 	if timeout <= 0 {
 		timeout = DefaultStartTimeout
 	}
-	j.deadline = s.cfg.Clock.Now().Add(timeout)
+	j.arrived = s.cfg.Clock.Now()
+	j.deadline = j.arrived.Add(timeout)
 	return j, timeout
 }
 
@@ -114,17 +116,31 @@
 	if req.Mode == wire.ReadMaxAge {
 		return r, true // such a read asked for an age, not for the session's own writes
 	}
+	r.Floor, r.Seen = req.Floor, s.seenOf(j)
 	if req.HasFloor {
-		r.Floor = req.Floor
 		return r, true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	floor, known := s.floors.Floor(j.team)
-	r.Floor = floor
+	r.Floor = r.Floor.Max(floor)
 	return r, known
 }
 
+// seenOf returns the earlier reads of a session with the times at which they had ended. The clock of
+// another epoch's owner says nothing here, but such a read had ended when this request arrived.
+func (s *service) seenOf(j job) []routing.Seen {
+	var out []routing.Seen
+	for _, x := range j.req.Seen {
+		at := j.arrived
+		if x.Epoch == s.epoch {
+			at = s.started.Add(x.At)
+		}
+		out = append(out, routing.Seen{Target: x.Target, At: at})
+	}
+	return out
+}
+
 // parseSelector keeps parsed selectors, since each read needs one.
 func (s *service) parseSelector(text string) (labels.Selector, error) {
 	s.mu.Lock()
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -282,11 +282,34 @@
 	}
 }
 
-// token returns the position to report after the transaction.
-func (t *tx) token(committed position.Position) string {
-	p := committed.Max(t.p.known)
-	if t.job.req.HasFloor {
-		p = p.Max(t.job.req.Floor)
+// token returns the session token to report after the transaction. Reported is the position that the
+// connection has last reported.
+//
+// It has to cover all that the transaction read. At the primary, the position reported with a commit
+// does. A replica may have applied more than the last sample says, and to ask it again would cost each
+// read a round trip. The token names the target and the time instead: the owner's next regular sample
+// of that target bounds the read, and until then the session's reads go to the same target or the
+// primary, which can't be older.
+func (t *tx) token(committed, reported position.Position) string {
+	req := t.job.req
+	floor, seen := req.Floor.Max(committed), req.Seen
+	if req.ReadOnly && !t.p.primary && req.Mode == wire.ReadMaxAge {
+		return position.SeenToken(t.s.name, floor, t.addSeen(seen)) // it has regarded no earlier read
 	}
-	return position.Token(t.s.name, p)
+	floor = floor.Max(t.p.known)
+	if t.d.reported && t.p.primary {
+		return position.Token(t.s.name, floor.Max(reported))
+	}
+	return position.SeenToken(t.s.name, floor, t.addSeen(nil))
+}
+
+// addSeen adds this transaction to the reads of a token. Without room it is left out, which can only
+// happen to reads by age.
+func (t *tx) addSeen(list []position.Seen) []position.Seen {
+	if len(list) >= position.MaxSeen {
+		return list
+	}
+	at := t.s.cfg.Clock.Now().Sub(t.s.started)
+	at = (at + time.Microsecond - 1).Truncate(time.Microsecond)
+	return position.AddSeen(list, position.Seen{Target: t.p.t.cfg.Target, Epoch: t.s.epoch, At: at})
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -43,13 +43,22 @@
 	Answered time.Time     // zero: never
 	Lag      time.Duration // moving average
 	Load     float64       // running and waiting statements per slot
+	History  *Samples      // of Applied; nil before the first answer
 }
 
+// historySamples is the number of samples kept of each target's applied position. Older reads are
+// compared with the oldest sample, which is still a bound.
+const historySamples = 64
+
 // Answer records a status answer of the target at now, to a question sent at asked.
 func (t *Target) Answer(asked, now time.Time, role string, term uint64, received, applied position.Position, s *Samples) {
 	t.Asked, t.Answered = asked, now
 	t.Role, t.Term = role, term
 	t.Received, t.Applied = received, applied
+	if t.History == nil {
+		t.History = NewSamples(historySamples)
+	}
+	t.History.Add(asked, applied)
 	if role == RolePrimary {
 		return
 	}
@@ -68,6 +77,7 @@
 type Read struct {
 	Mode     wire.ReadMode
 	Floor    position.Position
+	Seen     []Seen // further bounds, in ReadSession mode
 	MaxAge   time.Duration
 	Place    string          // of the entry host
 	Selector labels.Selector // nil: any replica
@@ -75,6 +85,12 @@
 	MaxWait  time.Duration   // bound of the wait
 }
 
+// Seen is an earlier read of the session at a target, which ended at or before At.
+type Seen struct {
+	Target string
+	At     time.Time
+}
+
 // Decision says where a read goes. With Wait set, a replica is expected to cover the floor soon: the
 // caller asks again after the next status answers. With an empty Replica it goes to the primary.
 type Decision struct {
@@ -136,6 +152,11 @@
 	if !t.Applied.Covers(r.Floor) {
 		return false
 	}
+	for _, s := range r.Seen {
+		if !g.covers(t, s) {
+			return false
+		}
+	}
 	if r.Mode != wire.ReadMaxAge {
 		return true
 	}
@@ -143,6 +164,22 @@
 	return ok && age <= r.MaxAge
 }
 
+// covers reports whether a read at t reflects all that the read s reflected. That is so at the same
+// target, which never goes back. Otherwise the position of s is bounded by the first sample that was
+// asked for after its end: one of its target, or one of the primary, as no replica is past it.
+func (g *Group) covers(t *Target, s Seen) bool {
+	if t.Name == s.Target {
+		return true
+	}
+	if at := g.Targets[s.Target]; at != nil && at.History != nil {
+		if bound, ok := at.History.After(s.At); ok && t.Applied.Covers(bound) {
+			return true
+		}
+	}
+	bound, ok := g.Samples.After(s.At)
+	return ok && t.Applied.Covers(bound)
+}
+
 func lighter(fit []*Target, place string, rnd *rand.Rand) *Target {
 	if len(fit) == 1 {
 		return fit[0]
--- a/internal/routing/samples.go
+++ b/internal/routing/samples.go
@@ -56,6 +56,19 @@
 	return 0, false
 }
 
+// After returns the position of the oldest sample whose question was sent after at. ok is false when
+// there is none.
+func (s *Samples) After(at time.Time) (p position.Position, ok bool) {
+	for i := range s.len() {
+		x := s.ring[s.index(i)]
+		if !x.at.After(at) {
+			break
+		}
+		p, ok = x.pos, true
+	}
+	return p, ok
+}
+
 // Latest returns the newest sampled position.
 func (s *Samples) Latest() (position.Position, bool) {
 	x, ok := s.last()
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -64,6 +64,7 @@
 	timeout    time.Duration
 	requestKey string
 	floor      position.Position
+	seen       []position.Seen // reads that floor may not cover
 	hasFloor   bool
 	seq        uint64
 }
@@ -158,9 +159,11 @@
 // ClosePortals forgets all portals, at the end of a transaction.
 func (s *Session) ClosePortals() { clear(s.portals) }
 
-// RaiseFloor moves the floor of the session's reads to p, unless it is past p already.
-func (s *Session) RaiseFloor(p position.Position) {
+// RaiseFloor takes over the owner's report after a transaction: the floor moves to p, unless it is
+// past p already. The reported reads replace the earlier ones, which the owner has taken into account.
+func (s *Session) RaiseFloor(p position.Position, seen []position.Seen) {
 	s.floor = s.floor.Max(p)
+	s.seen = seen
 	s.hasFloor = true
 }
 
@@ -189,6 +192,7 @@
 		MaxAge:   rule.MaxAge,
 		Floor:    s.floor,
 		HasFloor: s.hasFloor,
+		Seen:     s.seen,
 	}
 	if s.read.Set {
 		req.Mode, req.MaxAge = s.read.Mode, s.read.MaxAge
--- a/internal/session/settings.go
+++ b/internal/session/settings.go
@@ -267,11 +267,19 @@
 	if value == "" {
 		return nil
 	}
-	p, err := position.ParseToken(s.service, value)
+	p, added, err := position.ParseSeenToken(s.service, value)
 	if err != nil {
 		return invalid(SettingToken, "a session token of this service")
 	}
-	s.RaiseFloor(p)
+	seen := s.seen
+	for _, x := range added {
+		seen = position.AddSeen(seen, x)
+	}
+	if len(seen) > position.MaxSeen {
+		return invalid(SettingToken, "followed by a statement before more tokens are set")
+	}
+	s.floor, s.seen = s.floor.Max(p), seen
+	s.hasFloor = true
 	return nil
 }
 
@@ -288,7 +296,7 @@
 		if !s.hasFloor {
 			return "", nil
 		}
-		return position.Token(s.service, s.floor), nil
+		return position.SeenToken(s.service, s.floor, s.seen), nil
 	}
 	return "", verdict.New(verdict.NotRun, verdict.CodeInvalidParameter, "unknown setting %q", name)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -67,12 +67,13 @@
 	Mode       ReadMode          `cbor:"7,keyasint,omitempty"`
 	MaxAge     time.Duration     `cbor:"8,keyasint,omitempty"` // for ReadMaxAge
 	Floor      position.Position `cbor:"9,keyasint,omitempty"`
-	HasFloor   bool              `cbor:"10,keyasint,omitempty"` // false: the owner uses the team's floor
+	HasFloor   bool              `cbor:"10,keyasint,omitempty"` // false: the owner adds the team's floor
 	Timeout    time.Duration     `cbor:"11,keyasint"`           // time left to start running
 	RequestKey string            `cbor:"12,keyasint,omitempty"` // makes a resend idempotent
 	Epoch      uint64            `cbor:"13,keyasint"`           // ownership epoch that the entry host knows
 	Place      string            `cbor:"14,keyasint,omitempty"` // place of the entry host
 	InBlock    bool              `cbor:"15,keyasint,omitempty"` // starts with BEGIN: a transaction block
+	Seen       []position.Seen   `cbor:"16,keyasint,omitempty"` // reads of the session that Floor may not cover
 }
 
 // TxReply answers a TxRequest before any frame. When Admitted is false, Code and Message say why and
