Test the floor of connections without a token

A request without a token of its caller is bound by the session's earlier reads and by the team's floor together.

--- a/internal/owner/monotonic_test.go
+++ b/internal/owner/monotonic_test.go
@@ -108,3 +108,36 @@
 		is.Equal(h.ran("a"), 11) // the replicas serve the session again
 	})
 }
+
+// Guards against a connection without a token of its own that loses its earlier reads, or the writes
+// that its team made through other connections.
+func TestFloorOfTeamAndSession(t *testing.T) {
+	is := is.New(t)
+	bubble(t, func(h *harness) {
+		ahead := position.Position{Term: 1, Offset: 15}
+		h.edit(func() {
+			for _, name := range []string{"a", "b"} {
+				h.targets[name].received, h.targets[name].applied = ahead, ahead
+			}
+		})
+		req := h.present(h.readAt("b"))
+		req.HasFloor = false
+		before := h.ran("c")
+		for range 20 {
+			is.Equal(h.run(req, "SELECT 1").status, byte('I'))
+		}
+		h.settle()
+		req.Floor, req.Seen = ahead, nil
+		for range 20 {
+			is.Equal(h.run(req, "SELECT 1").status, byte('I'))
+		}
+		is.Equal(h.ran("c"), before)
+		h.edit(func() { h.targets["c"].received, h.targets["c"].lag = ahead, true })
+		is.Equal(h.run(write, "INSERT").token, "s:1/16")
+		req.Floor = position.Position{Term: 1, Offset: 1}
+		for range 20 {
+			is.Equal(h.run(req, "SELECT 1").status, byte('I'))
+		}
+		is.Equal(h.ran("c"), before) // it lacks the team's write
+	})
+}
