Support request keys for one extended batch and insert the key first

A key worked for simple queries only, and it was recorded after the statement, so that two concurrent sends both ran the statement until one failed at the end. Now the row of the key is inserted first: a second run waits there. The row holds a digest of the statement and its parameters; another statement under the same key is refused with 22023. One batch of the extended protocol with a single Execute is accepted; a resend sends the batch without Execute for its descriptions and relays the recorded tag. A key held by another run gives MayHaveRun, not NotRun.

Test: 5 keys, 6 concurrent sends each through three hosts, every send got INSERT 0 1 and 5 rows were stored; a resend after a failover got the recorded tag.

--- /dev/null
+++ b/internal/daemon/keyed_test.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
+)
+
+const bookOnce = "INSERT INTO booking (id, visitor, status) VALUES ($1, $2, 'new')"
+
+// withKey runs a statement with a request key and returns its tag.
+func withKey(ctx context.Context, c *pgx.Conn, key, sql string, args ...any) (string, error) {
+	if _, err := c.Exec(ctx, "SET citron.request_key = '"+key+"'"); err != nil {
+		return "", err
+	}
+	tag, err := c.Exec(ctx, sql, args...)
+	return tag.String(), err
+}
+
+func sqlState(err error) string {
+	if e, ok := errors.AsType[*pgconn.PgError](err); ok {
+		return e.Code
+	}
+	return ""
+}
+
+// Guards against a statement of the extended protocol that runs twice under one request key: with
+// concurrent sends through all hosts, and with a resend after a failover. Also against a key that
+// hides a different statement.
+func TestRequestKeyOfExtendedBatch(t *testing.T) {
+	is := is.New(t)
+	d, ctx := startDemo(t)
+	var conns []*pgx.Conn
+	for i := range 6 {
+		conns = append(conns, d.connect(ctx, t, "clerks", i%3))
+	}
+	const keys = 5
+	for k := range keys {
+		var wg sync.WaitGroup
+		for _, c := range conns {
+			wg.Go(func() {
+				tag, err := withKey(ctx, c, fmt.Sprint("k", k), bookOnce, fmt.Sprint("b", k), "v")
+				if err != nil || tag != "INSERT 0 1" {
+					t.Errorf("key %d: tag %q, error %v", k, tag, err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	var n int
+	is.NoErr(conns[0].QueryRow(ctx, "SELECT count(*) FROM booking").Scan(&n))
+	is.Equal(n, keys)
+
+	_, err := withKey(ctx, conns[1], "k0", bookOnce, "b0", "other")
+	is.Equal(sqlState(err), "22023")
+	is.Equal(detail(err), "verdict: NotRun")
+	_, err = withKey(ctx, conns[1], "k0", "DELETE FROM booking WHERE id = $1", "b0")
+	is.Equal(sqlState(err), "22023")
+
+	_, err = withKey(ctx, conns[2], "failed", bookOnce, "b0", "v") // exists: fails and leaves the key free
+	is.Equal(sqlState(err), "23505")
+	tag, err := withKey(ctx, conns[2], "failed", bookOnce, "c0", "v")
+	is.NoErr(err)
+	is.Equal(tag, "INSERT 0 1")
+
+	d.groups[0].Primary().Kill()
+	deadline := time.Now().Add(failoverBound)
+	for {
+		tag, err = withKey(ctx, conns[0], "k0", bookOnce, "b0", "v")
+		if err == nil || time.Now().After(deadline) {
+			break
+		}
+	}
+	is.NoErr(err)
+	is.Equal(tag, "INSERT 0 1") // the recorded outcome
+	is.NoErr(conns[0].QueryRow(ctx, "SELECT count(*) FROM booking").Scan(&n))
+	is.Equal(n, keys+1)
+}
--- a/internal/entry/begin.go
+++ b/internal/entry/begin.go
@@ -17,6 +17,10 @@
 	req := c.st.Request(rule, b.readOnly(complete), b.block)
 	c.mu.Unlock()
 	req.Team, req.KeyID, req.Session, req.Place = c.team, c.keyID, c.sessionID, c.srv.cfg.Place
+	if req.RequestKey != "" && !complete {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNotSupported,
+			"a request key needs one statement whose messages fit into %d bytes and end with Sync", batchBytes)
+	}
 	timeout := c.st.Timeout(c.srv.cfg.StatementTimeout)
 	deadline := time.Now().Add(timeout)
 	c.srv.budget.attempt()
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -36,8 +36,8 @@
 	lag       bool
 	down      bool
 	dials     int
-	statement []string          // statements that ran
-	keys      map[string]string // request keys
+	statement []string             // statements that ran
+	keys      map[string][2]string // request keys: digest and result
 	hook      func(sql string) string
 	cancels   int
 	puts      int // connections put back in a clean state
@@ -157,6 +157,7 @@
 	discarded atomic.Bool
 	block     bool
 	wrote     bool
+	key       string // inserted by the open block
 
 	mu       sync.Mutex
 	status   byte
@@ -260,7 +261,13 @@
 		}
 		switch f.Type() {
 		case pgwire.DataRow:
-			rows = append(rows, []string{string(f.Body()[6:])})
+			var m pgproto3.DataRow
+			_ = m.Decode(f.Body())
+			var row []string
+			for _, v := range m.Values {
+				row = append(row, string(v))
+			}
+			rows = append(rows, row)
 		case pgwire.CommandComplete:
 			tag = strings.TrimSuffix(string(f.Body()), "\x00")
 		case pgwire.ErrorResponse:
@@ -297,8 +304,12 @@
 	c.ready(false)
 }
 
-func (c *fakeConn) row(v string) {
-	c.out <- encode(&pgproto3.DataRow{Values: [][]byte{[]byte(v)}})
+func (c *fakeConn) row(values ...string) {
+	var m pgproto3.DataRow
+	for _, v := range values {
+		m.Values = append(m.Values, []byte(v))
+	}
+	c.out <- encode(&m)
 }
 
 var keyPattern = regexp.MustCompile(`'([^']*)'`)
@@ -336,22 +347,31 @@
 		if sql == "COMMIT" && c.wrote {
 			pos = c.f.commit()
 		}
+		if sql == "ROLLBACK" {
+			delete(c.f.keys, c.key)
+		}
+		c.key = ""
 		c.done(sql, pos)
 	case strings.HasPrefix(sql, "COPY"):
 		c.emit(pgwire.CopyInResponse, "\x00\x00\x00")
-	case strings.HasPrefix(sql, "SELECT result"):
+	case strings.HasPrefix(sql, "SELECT digest"):
 		if v, ok := c.f.keys[keyPattern.FindStringSubmatch(sql)[1]]; ok {
-			c.row(v)
+			c.row(v[0], v[1])
 		}
 		c.done("SELECT", position.Position{})
 	case strings.HasPrefix(sql, "INSERT INTO citron_request"):
-		m := keyPattern.FindAllStringSubmatch(sql, 3)
+		m := keyPattern.FindAllStringSubmatch(sql, 4)
 		if _, ok := c.f.keys[m[0][1]]; ok {
 			c.fail(codeUniqueViolation)
 			return
 		}
-		c.f.keys[m[0][1]] = m[2][1]
+		c.key = m[0][1]
+		c.f.keys[c.key] = [2]string{m[2][1], m[3][1]}
 		c.done("INSERT 0 1", position.Position{})
+	case strings.HasPrefix(sql, "UPDATE citron_request"):
+		m := keyPattern.FindAllStringSubmatch(sql, 2)
+		c.f.keys[m[1][1]] = [2]string{c.f.keys[m[1][1]][0], m[0][1]}
+		c.done("UPDATE 1", position.Position{})
 	case strings.HasPrefix(sql, "SELECT"):
 		var n int
 		_, _ = fmt.Sscanf(sql, "SELECT %d", &n)
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -43,7 +43,7 @@
 		h := &harness{fakeGroup: g, t: t}
 		for _, name := range []string{"a", "b", "c"} {
 			p := position.Position{Term: 1, Offset: 10}
-			g.targets[name] = &fakeTarget{g: g, name: name, role: routing.RoleReplica, term: 1, received: p, applied: p, keys: map[string]string{}}
+			g.targets[name] = &fakeTarget{g: g, name: name, role: routing.RoleReplica, term: 1, received: p, applied: p, keys: map[string][2]string{}}
 		}
 		g.targets["a"].role = routing.RolePrimary
 		h.lease.Store(true)
--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -19,39 +19,38 @@
 const (
 	codeUniqueViolation = "23505"
 	codeUndefinedTable  = "42P01"
-	createRequestTable  = "CREATE TABLE IF NOT EXISTS citron_request (id text PRIMARY KEY, team text, result text)"
-	// keyedBytes bounds the responses of a statement with a request key.
+	createRequestTable  = "CREATE TABLE IF NOT EXISTS citron_request (id text PRIMARY KEY, team text, digest text, result text)"
+	// keyedBytes bounds a request with a key, and its responses.
 	keyedBytes = 1 << 20
 )
 
-// errKeyExists means that another run of the same request has recorded its outcome.
-var errKeyExists = errors.New("request key exists")
-
 // keyed runs one statement with a request key.
 type keyed struct {
 	t      *tx
 	conn   Conn
 	ctx    context.Context
+	batch  *keyedBatch
 	id     string // team and key, quoted for SQL
 	frames []byte // responses of the statement, without its completion
 	tag    string // its completion
 	failed error  // *pgconn.PgError of the statement
 }
 
-// serveKeyed runs a statement with a request key: in one transaction with a row that holds its
-// outcome, so that a resend finds the row and runs nothing. Only simple queries are supported.
+// serveKeyed runs a statement with a request key in one transaction with a row that holds its outcome.
+// The row is inserted first: of two runs of the same request, the second one waits at the row until
+// the first has ended. A resend finds the row and runs nothing; it gets the command tag without rows.
 func (s *service) serveKeyed(ctx context.Context, j job, timeout time.Duration, stream io.ReadWriteCloser) {
 	t := newTx(ctx, s, j, stream)
 	defer t.end()
-	f, err := t.reader.Next()
-	if err != nil {
-		return // the caller is gone and nothing was sent
+	if j.req.InBlock {
+		refuse(stream, notSupported("a request key can't be used for a transaction block"))
+		return
 	}
-	if f.Type() != pgwire.Query || j.req.InBlock {
-		refuse(stream, verdict.New(verdict.NotRun, verdict.CodeNotSupported, "a request key needs a single simple query outside of a block"))
+	batch, err := readBatch(t.reader)
+	if err != nil {
+		refuse(stream, err) // reaches nobody if the stream has ended
 		return
 	}
-	query := append([]byte(nil), f...)
 	placeCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	p, err := s.placePrimary(placeCtx, j)
@@ -65,56 +64,83 @@
 		return
 	}
 	writes.Inc()
-	k := &keyed{t: t, conn: p.conn, ctx: t.ctx, id: quote(j.team + "/" + j.req.RequestKey)}
-	pos, err := k.run(query)
+	k := &keyed{t: t, conn: p.conn, ctx: t.ctx, batch: batch, id: quote(j.team + "/" + j.req.RequestKey)}
+	pos, err := k.run()
 	if err == nil {
 		t.detach()
 		err = s.confirm(t, pos)
 	}
-	if err != nil && k.failed == nil {
+	if err != nil {
 		t.fail(err)
 		return
 	}
-	t.d.out = append(t.d.out, k.frames...)
+	k.answer(pos)
+}
+
+// answer relays the outcome.
+func (k *keyed) answer(pos position.Position) {
+	d := &k.t.d
+	d.out = append(d.out, k.frames...)
 	if k.failed == nil {
-		t.d.out = pgwire.Append(t.d.out, pgwire.CommandComplete, append([]byte(k.tag), 0))
+		d.out = pgwire.Append(d.out, pgwire.CommandComplete, append([]byte(k.tag), 0))
 	}
-	t.d.reported = !pos.IsZero()
-	t.d.out = pgwire.AppendStatus(t.d.out, pgwire.StatusToken, t.token(pos, pos))
-	t.d.out = pgwire.AppendReady(t.d.out, pgwire.TxIdle)
-	t.flush()
+	d.reported = !pos.IsZero()
+	d.out = pgwire.AppendStatus(d.out, pgwire.StatusToken, k.t.token(pos, pos))
+	d.out = pgwire.AppendReady(d.out, pgwire.TxIdle)
+	k.t.flush()
 }
 
 // run returns the position that has to be confirmed before the outcome is relayed.
-func (k *keyed) run(query []byte) (position.Position, error) {
+func (k *keyed) run() (position.Position, error) {
 	k.t.mu.Lock()
 	k.t.sent = true // errors carry their own verdicts: an earlier run may have been committed
 	k.t.mu.Unlock()
-	found, err := k.recorded()
-	if err != nil {
-		return position.Position{}, k.unsent(err)
+	err := k.reserve()
+	if isCode(err, codeUndefinedTable) {
+		_ = k.exec(createRequestTable) // may fail because another connection creates it
+		err = k.reserve()
 	}
-	if found {
-		return k.t.s.primaryPosition(k.ctx, k.t.p.term)
+	if isCode(err, codeUniqueViolation) {
+		return k.recorded()
 	}
-	if err := k.exec("BEGIN"); err != nil {
-		return position.Position{}, k.unsent(err)
+	if err != nil {
+		return position.Position{}, k.notReserved(err)
 	}
-	if err := k.statement(query); err != nil {
+	if err := k.statement(k.batch.frames); err != nil {
 		return position.Position{}, err // the connection is closed, which rolls back
 	}
-	if k.failed == nil {
-		err = k.record()
+	if k.failed != nil {
+		return position.Position{}, k.exec("ROLLBACK")
+	}
+	if k.conn.TxStatus() != pgwire.TxBlock {
+		return position.Position{}, unknownOutcome("the statement with a request key ended its transaction")
+	}
+	return k.commit()
+}
+
+// reserve opens the block and inserts the row of the key. After an error of the target the block is
+// rolled back.
+func (k *keyed) reserve() error {
+	if err := k.exec("BEGIN"); err != nil {
+		return err
 	}
-	if err == nil && k.failed == nil {
-		return k.commit()
+	err := k.exec("INSERT INTO citron_request (id, team, digest, result) VALUES (" +
+		k.id + ", " + quote(k.t.job.team) + ", " + quote(k.batch.sum()) + ", '')")
+	if _, refused := errors.AsType[*pgconn.PgError](err); refused {
+		if rollback := k.exec("ROLLBACK"); rollback != nil {
+			return rollback
+		}
 	}
-	return k.rolledBack(err)
+	return err
 }
 
-// unsent returns the error of a step before the statement: nothing of the request has run.
-func (k *keyed) unsent(err error) error {
-	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "request key can't be checked: %w", err)
+// notReserved returns the error of a run that didn't reach the statement. When the target refused the
+// row, another run of the request may be holding it.
+func (k *keyed) notReserved(err error) error {
+	if pg, refused := errors.AsType[*pgconn.PgError](err); refused {
+		return unknownOutcome("the request key can't be recorded, another run of the request may be under way: %w", pg)
+	}
+	return unavailable("the request key can't be checked: %w", err)
 }
 
 func (k *keyed) exec(sql string) error {
@@ -122,22 +148,35 @@
 	return err
 }
 
-// recorded looks up the outcome of an earlier run.
-func (k *keyed) recorded() (found bool, err error) {
-	rows, _, err := k.conn.Exec(k.ctx, "SELECT result FROM citron_request WHERE id = "+k.id)
-	if isCode(err, codeUndefinedTable) {
-		return false, k.exec(createRequestTable)
+// recorded takes over the outcome of an earlier run.
+func (k *keyed) recorded() (position.Position, error) {
+	none := position.Position{}
+	rows, _, err := k.conn.Exec(k.ctx, "SELECT digest, result FROM citron_request WHERE id = "+k.id)
+	if err != nil {
+		return none, unknownOutcome("the outcome of the request can't be read: %w", err)
 	}
-	if err != nil || len(rows) == 0 || len(rows[0]) == 0 {
-		return false, err
+	if len(rows) != 1 || len(rows[0]) != 2 {
+		return none, unknownOutcome("the outcome of the request is no longer recorded")
 	}
-	k.tag, k.frames, k.failed = rows[0][0], nil, nil
-	return true, nil
+	if rows[0][0] != k.batch.sum() {
+		return none, verdict.New(verdict.NotRun, verdict.CodeInvalidParameter,
+			"request key %q was used for a different statement", k.t.job.req.RequestKey)
+	}
+	if rows[0][1] == "" {
+		return none, unknownOutcome("an earlier run of the request has recorded no outcome")
+	}
+	if len(k.batch.describe) > 0 {
+		if err := k.statement(k.batch.describe); err != nil {
+			return none, unknownOutcome("the recorded outcome can't be described: %w", err)
+		}
+	}
+	k.tag = rows[0][1]
+	return k.t.s.primaryPosition(k.ctx, k.t.p.term)
 }
 
-// statement runs the caller's statement inside the open block and keeps its responses.
-func (k *keyed) statement(query []byte) error {
-	if err := k.conn.Send(query); err != nil {
+// statement sends requests of the caller and keeps their responses.
+func (k *keyed) statement(frames []byte) error {
+	if err := k.conn.Send(frames); err != nil {
 		return err
 	}
 	for {
@@ -147,7 +186,7 @@
 		}
 		switch f.Type() {
 		case pgwire.ReadyForQuery:
-			return k.inBlock()
+			return nil
 		case pgwire.CommandComplete:
 			k.tag = strings.TrimSuffix(string(f.Body()), "\x00")
 			continue
@@ -155,6 +194,8 @@
 			if name, _, ok := pgwire.ParseStatus(f); ok && name == pgwire.StatusPosition {
 				continue
 			}
+		case pgwire.CopyInResponse, pgwire.CopyOutResponse:
+			return notSupported("COPY can't have a request key") // the connection is closed, which rolls back
 		case pgwire.ErrorResponse:
 			var m pgproto3.ErrorResponse
 			if err := m.Decode(f.Body()); err != nil {
@@ -163,71 +204,35 @@
 			k.failed = pgconn.ErrorResponseToPgError(&m)
 		}
 		if len(k.frames)+len(f) > keyedBytes {
-			return verdict.New(verdict.Ran, verdict.CodeNotSupported, "response to a request with a key exceeds %d bytes", keyedBytes)
+			return notSupported("response to a request with a key exceeds %d bytes", keyedBytes)
 		}
 		k.frames = append(k.frames, f...)
 	}
 }
 
-// inBlock checks that the statement didn't end the block that it ran in.
-func (k *keyed) inBlock() error {
-	if k.failed == nil && k.conn.TxStatus() != pgwire.TxBlock {
-		return unknownOutcome("the statement with a request key ended its transaction")
+// commit records the outcome and commits it together with the statement.
+func (k *keyed) commit() (position.Position, error) {
+	none := position.Position{}
+	err := k.exec("UPDATE citron_request SET result = " + quote(k.tag) + " WHERE id = " + k.id)
+	if pg, refused := errors.AsType[*pgconn.PgError](err); refused {
+		return none, verdict.New(verdict.NotRun, pg.Code, "the outcome of the request can't be recorded: %w", pg)
 	}
-	return nil
-}
-
-func (k *keyed) record() error {
-	err := k.exec("INSERT INTO citron_request (id, team, result) VALUES (" +
-		k.id + ", " + quote(k.t.job.team) + ", " + quote(k.tag) + ")")
-	if isCode(err, codeUniqueViolation) {
-		return errKeyExists
+	if err != nil {
+		return none, err
 	}
-	return err
-}
-
-func (k *keyed) commit() (position.Position, error) {
 	_, tag, err := k.conn.Exec(k.ctx, "COMMIT")
-	if pg, ok := errors.AsType[*pgconn.PgError](err); ok {
-		return position.Position{}, verdict.New(verdict.Ran, pg.Code, "commit failed: %w", pg)
+	if pg, refused := errors.AsType[*pgconn.PgError](err); refused {
+		return none, verdict.New(verdict.Ran, pg.Code, "commit failed: %w", pg)
 	}
 	if err != nil {
-		return position.Position{}, err
+		return none, err
 	}
 	if tag != "COMMIT" {
-		return position.Position{}, verdict.New(verdict.Ran, pgRollback, "the transaction was rolled back")
+		return none, verdict.New(verdict.Ran, pgRollback, "the transaction was rolled back")
 	}
 	return k.t.committed(k.conn.Position()), nil
 }
 
-// rolledBack ends a block that can't be committed. The outcome may have been recorded by a concurrent
-// run of the same request; then it counts.
-func (k *keyed) rolledBack(cause error) (position.Position, error) {
-	if err := k.exec("ROLLBACK"); err != nil {
-		return position.Position{}, orCause(cause, err)
-	}
-	failed, frames := k.failed, k.frames
-	found, err := k.recorded()
-	if err != nil {
-		return position.Position{}, unknownOutcome("the outcome of the request can't be read: %w", err)
-	}
-	if found {
-		return k.t.s.primaryPosition(k.ctx, k.t.p.term)
-	}
-	k.failed, k.frames = failed, frames
-	if pg, ok := errors.AsType[*pgconn.PgError](cause); ok {
-		return position.Position{}, verdict.New(verdict.Ran, pg.Code, "request key can't be recorded: %w", pg)
-	}
-	return position.Position{}, cause
-}
-
-func orCause(cause, err error) error {
-	if cause != nil {
-		return cause
-	}
-	return err
-}
-
 func isCode(err error, code string) bool {
 	pg, ok := errors.AsType[*pgconn.PgError](err)
 	return ok && pg.Code == code
--- /dev/null
+++ b/internal/owner/keyed_batch.go
@@ -0,0 +1,132 @@
+package owner
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"hash"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/citronrun/citronrun/internal/pgwire"
+	"github.com/citronrun/citronrun/internal/verdict"
+)
+
+// keyedBatch is the request of a transaction with a request key: a simple query, or one batch of the
+// extended protocol with a single Execute.
+type keyedBatch struct {
+	frames   []byte // as sent by the caller
+	describe []byte // the same without Execute; empty for a simple query
+	executes int
+	digest   hash.Hash // of the statement and its parameters, without names that the entry host chose
+}
+
+// readBatch reads up to the Sync or Query. The error is a *verdict.Error with verdict NotRun, or that
+// of the stream.
+func readBatch(r *pgwire.Reader) (*keyedBatch, error) {
+	b := &keyedBatch{digest: sha256.New()}
+	for {
+		f, err := r.Next()
+		if err != nil {
+			return nil, err
+		}
+		if len(b.frames)+len(f) > keyedBytes {
+			return nil, notSupported("a request with a key exceeds %d bytes", keyedBytes)
+		}
+		if err := b.add(f); err != nil {
+			return nil, err
+		}
+		if f.Type() == pgwire.Query || f.Type() == pgwire.Sync {
+			return b, b.check()
+		}
+	}
+}
+
+func notSupported(format string, args ...any) error {
+	return verdict.New(verdict.NotRun, verdict.CodeNotSupported, format, args...)
+}
+
+func (b *keyedBatch) add(f pgwire.Frame) error {
+	var err error
+	switch f.Type() {
+	case pgwire.Query:
+		var m pgproto3.Query
+		err = m.Decode(f.Body())
+		b.executes++
+		b.note([]byte(m.String))
+	case pgwire.Parse:
+		var m pgproto3.Parse
+		err = m.Decode(f.Body())
+		b.note([]byte(m.Query))
+	case pgwire.Bind:
+		var m pgproto3.Bind
+		err = m.Decode(f.Body())
+		b.noteParameters(m)
+	case pgwire.Execute:
+		var m pgproto3.Execute
+		err = m.Decode(f.Body())
+		b.executes++
+		if err == nil && m.MaxRows > 0 {
+			err = notSupported("a request with a key can't fetch its rows in parts")
+		}
+	case pgwire.Describe, pgwire.Sync:
+	case pgwire.Flush:
+		return nil
+	default:
+		err = notSupported("message %q is not supported in a request with a key", f.Type())
+	}
+	if _, ok := errors.AsType[*verdict.Error](err); err != nil && !ok {
+		err = verdict.New(verdict.NotRun, verdict.CodeProtocol, "malformed message %q: %w", f.Type(), err)
+	}
+	if err != nil {
+		return err
+	}
+	b.frames = append(b.frames, f...)
+	if f.Type() != pgwire.Execute && f.Type() != pgwire.Query {
+		b.describe = append(b.describe, f...)
+	}
+	return nil
+}
+
+func (b *keyedBatch) check() error {
+	if b.executes != 1 {
+		return notSupported("a request with a key must run exactly one statement, not %d", b.executes)
+	}
+	return nil
+}
+
+// note adds a value with its length, so that different lists of values differ.
+func (b *keyedBatch) note(v []byte) {
+	_, _ = b.digest.Write(binary.BigEndian.AppendUint64(nil, uint64(len(v)))) // never fails
+	_, _ = b.digest.Write(v)
+}
+
+func (b *keyedBatch) noteParameters(m pgproto3.Bind) {
+	for i, p := range m.Parameters {
+		switch {
+		case p == nil:
+			b.note([]byte("null"))
+		case formatOf(m.ParameterFormatCodes, i) == pgproto3.BinaryFormat:
+			b.note([]byte("binary"))
+		default:
+			b.note([]byte("text"))
+		}
+		b.note(p)
+	}
+}
+
+// formatOf returns the format of a parameter: none given means text, and one counts for all.
+func formatOf(codes []int16, i int) int16 {
+	switch {
+	case len(codes) == 0:
+		return pgproto3.TextFormat
+	case len(codes) == 1:
+		return codes[0]
+	case i < len(codes):
+		return codes[i]
+	}
+	return pgproto3.TextFormat
+}
+
+func (b *keyedBatch) sum() string { return hex.EncodeToString(b.digest.Sum(nil)) }
