Measure the data path with pathbench

Cause: the costs of the data path were unknown. Change: bench/cmd/pathbench alternates direct and proxied phases in one run, with the targets and each citrond as processes of their own. It reports latencies, CPU time, memory of idle callers and allocations, and saves profiles.

--- /dev/null
+++ b/bench/cmd/pathbench/load.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/citronrun/citronrun/internal/pgwire"
+)
+
+const (
+	smallRead = "SELECT id, visitor, status FROM booking WHERE id = 'b1'"
+	largeRead = "SELECT id, stall, status FROM repair"
+
+	callTimeout   = 10 * time.Second
+	statementName = "read"
+)
+
+// caller is a connection that runs one prepared statement again and again.
+type caller struct {
+	nc  net.Conn
+	rd  *pgwire.Reader
+	req []byte // Bind, Execute, Sync
+}
+
+func openCaller(ctx context.Context, url, sql string) (*caller, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := pgconn.Connect(ctx, url)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := conn.Prepare(ctx, statementName, sql, nil); err != nil {
+		_ = conn.Close(ctx)
+		return nil, err
+	}
+	if err := conn.SyncConn(ctx); err != nil {
+		_ = conn.Close(ctx)
+		return nil, err
+	}
+	h, err := conn.Hijack()
+	if err != nil {
+		return nil, err
+	}
+	_ = h.Conn.SetDeadline(time.Time{})
+	c := &caller{nc: h.Conn, rd: pgwire.NewReaderSize(h.Conn, pgwire.MaxFrameBytes, 1<<10)}
+	for _, m := range []pgproto3.FrontendMessage{
+		&pgproto3.Bind{PreparedStatement: statementName}, &pgproto3.Execute{}, &pgproto3.Sync{},
+	} {
+		if c.req, err = m.Encode(c.req); err != nil {
+			c.close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *caller) close() { _ = c.nc.Close() }
+
+// read runs the statement once and reads the whole answer.
+func (c *caller) read() error {
+	if _, err := c.nc.Write(c.req); err != nil {
+		return err
+	}
+	rows := 0
+	for {
+		f, err := c.rd.Next()
+		if err != nil {
+			return err
+		}
+		switch f.Type() {
+		case pgwire.ErrorResponse:
+			return fmt.Errorf("statement failed: %q", f.Body())
+		case pgwire.DataRow:
+			rows++
+		case pgwire.ReadyForQuery:
+			if rows == 0 {
+				return fmt.Errorf("statement returned no row")
+			}
+			return nil
+		}
+	}
+}
+
+// openCallers opens n callers; the URLs are used in turn.
+func openCallers(ctx context.Context, n int, sql string, urls ...string) ([]*caller, error) {
+	const parallel = 50
+	callers := make([]*caller, n)
+	errs := make(chan error, n)
+	permits := make(chan struct{}, parallel)
+	for i := range n {
+		go func() {
+			permits <- struct{}{}
+			defer func() { <-permits }()
+			var err error
+			callers[i], err = openCaller(ctx, urls[i%len(urls)], sql)
+			errs <- err
+		}()
+	}
+	var first error
+	for range n {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	if first != nil {
+		closeAll(callers)
+		return nil, fmt.Errorf("open %d callers: %w", n, first)
+	}
+	return callers, nil
+}
+
+func closeAll(callers []*caller) {
+	for _, c := range callers {
+		if c != nil {
+			c.close()
+		}
+	}
+}
+
+// load runs statements on all callers for d and returns the latencies of each.
+func load(callers []*caller, d time.Duration) ([]time.Duration, error) {
+	type outcome struct {
+		latencies []time.Duration
+		err       error
+	}
+	outcomes := make([]outcome, len(callers))
+	end := time.Now().Add(d)
+	var wg sync.WaitGroup
+	for i, c := range callers {
+		wg.Go(func() {
+			o := &outcomes[i]
+			for start := time.Now(); start.Before(end); {
+				if o.err = c.read(); o.err != nil {
+					return
+				}
+				now := time.Now()
+				o.latencies = append(o.latencies, now.Sub(start))
+				start = now
+			}
+		})
+	}
+	wg.Wait()
+	var all []time.Duration
+	for _, o := range outcomes {
+		if o.err != nil {
+			return nil, o.err
+		}
+		all = append(all, o.latencies...)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/bench/cmd/pathbench/measure.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// mode says which way statements take.
+type mode string
+
+const (
+	direct mode = "direct"
+	local  mode = "owner"      // through the host that owns the service
+	remote mode = "other host" // through the other host and QUIC
+)
+
+var modes = []mode{direct, local, remote}
+
+const (
+	profileSeconds = 5
+	rowStatements  = 300 // of each size
+)
+
+func (in *installation) urls(m mode) []string {
+	switch m {
+	case local:
+		return []string{in.url(in.owner)}
+	case remote:
+		return []string{in.url(in.other)}
+	}
+	var urls []string
+	for _, addr := range in.addrs[1:] { // replicas, to which citrond sends reads too
+		urls = append(urls, targetURL(addr))
+	}
+	return urls
+}
+
+// measureRound runs each phase once.
+func measureRound(ctx context.Context, o options, in *installation, r *results) error {
+	for _, n := range o.callers {
+		for _, m := range modes {
+			if err := measurePhase(ctx, o, in, r, phase{m, n}); err != nil {
+				return fmt.Errorf("phase %s with %d callers: %w", m, n, err)
+			}
+		}
+	}
+	return nil
+}
+
+func measurePhase(ctx context.Context, o options, in *installation, r *results, p phase) error {
+	callers, err := openCallers(ctx, p.callers, smallRead, in.urls(p.mode)...)
+	if err != nil {
+		return err
+	}
+	defer closeAll(callers)
+	if _, err := load(callers, o.warmUp); err != nil {
+		return err
+	}
+	before, err := in.cpu()
+	if err != nil {
+		return err
+	}
+	from := time.Now()
+	latencies, err := load(callers, o.duration)
+	if err != nil {
+		return err
+	}
+	took := time.Since(from)
+	after, err := in.cpu()
+	if err != nil {
+		return err
+	}
+	r.add(p, latencies, took, after.sub(before))
+	return nil
+}
+
+// usage is the CPU time of the processes other than pathbench itself.
+type usage struct{ owner, other, targets time.Duration }
+
+func (u usage) sub(v usage) usage {
+	return usage{u.owner - v.owner, u.other - v.other, u.targets - v.targets}
+}
+
+func (u usage) add(v usage) usage {
+	return usage{u.owner + v.owner, u.other + v.other, u.targets + v.targets}
+}
+
+func (in *installation) cpu() (u usage, err error) {
+	for _, p := range []struct {
+		process *process
+		to      *time.Duration
+	}{{in.owner.process, &u.owner}, {in.other.process, &u.other}, {in.targets, &u.targets}} {
+		if *p.to, err = cpuTime(p.process.pid()); err != nil {
+			return u, err
+		}
+	}
+	return u, nil
+}
+
+// measureRows compares the allocations of large results with those of small ones.
+func measureRows(ctx context.Context, o options, in *installation, r *results) error {
+	var counts [2]int64
+	for i, sql := range []string{smallRead, largeRead} {
+		n, err := mallocs(ctx, in, sql)
+		if err != nil {
+			return err
+		}
+		counts[i] = n
+	}
+	r.allocsPerStatement = float64(counts[0]) / rowStatements
+	r.allocsPerRow = float64(counts[1]-counts[0]) / float64(rowStatements*(o.rows-1))
+	return nil
+}
+
+// mallocs returns the allocations of the owner while one caller runs a statement rowStatements times.
+func mallocs(ctx context.Context, in *installation, sql string) (int64, error) {
+	c, err := openCaller(ctx, in.url(in.owner), sql)
+	if err != nil {
+		return 0, err
+	}
+	defer c.close()
+	var before memory
+	for round := range 2 { // the first one warms up
+		if before, err = memoryOf(in.owner); err != nil {
+			return 0, err
+		}
+		for range rowStatements {
+			if err := c.read(); err != nil {
+				return 0, fmt.Errorf("round %d: %w", round, err)
+			}
+		}
+	}
+	after, err := memoryOf(in.owner)
+	return after.mallocs - before.mallocs, err
+}
+
+// measureIdle opens idle callers at the owner, each of which has run one statement.
+func measureIdle(ctx context.Context, o options, in *installation, r *results) error {
+	if o.idle == 0 {
+		return nil
+	}
+	before, err := memoryOf(in.owner)
+	if err != nil {
+		return err
+	}
+	residentBefore, err := resident(in.owner.pid())
+	if err != nil {
+		return err
+	}
+	callers, err := openCallers(ctx, o.idle, smallRead, in.url(in.owner))
+	if err != nil {
+		return err
+	}
+	defer closeAll(callers)
+	for _, c := range callers {
+		if err := c.read(); err != nil {
+			return err
+		}
+	}
+	if _, err := memoryOf(in.owner); err != nil { // frees what authentication used
+		return err
+	}
+	after, err := memoryOf(in.owner)
+	if err != nil {
+		return err
+	}
+	residentAfter, err := resident(in.owner.pid())
+	if err != nil {
+		return err
+	}
+	r.idleBytes = float64(after.bytes-before.bytes) / float64(o.idle)
+	r.idleResident = float64(residentAfter-residentBefore) / float64(o.idle)
+	return nil
+}
+
+// saveProfiles stores profiles of the owner and the other host while callers use them.
+func saveProfiles(ctx context.Context, o options, in *installation) error {
+	if o.profile == "" {
+		return nil
+	}
+	for _, p := range []struct {
+		mode mode
+		host *host
+		file string
+	}{{local, in.owner, "owner"}, {remote, in.owner, "owner-remote"}, {remote, in.other, "other"}} {
+		if err := saveProfile(ctx, o, in, p.mode, p.host, p.file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func saveProfile(ctx context.Context, o options, in *installation, m mode, h *host, name string) error {
+	callers, err := openCallers(ctx, o.callers[len(o.callers)-1], smallRead, in.urls(m)...)
+	if err != nil {
+		return err
+	}
+	defer closeAll(callers)
+	done := make(chan error, 1)
+	go func() {
+		_, err := load(callers, (profileSeconds+1)*time.Second)
+		done <- err
+	}()
+	for file, path := range map[string]string{
+		name + ".cpu":    fmt.Sprintf("/debug/pprof/profile?seconds=%d", profileSeconds),
+		name + ".allocs": "/debug/pprof/allocs",
+	} {
+		data, err := fetch(h.admin + path)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(o.profile, file), data, 0o600); err != nil {
+			return err
+		}
+	}
+	return <-done
+}
