Wake the owner's waits only when they can end

Each read set a timer for a wait that most reads don't have, and formatted the name of its team's metric. Change: the end of a transaction notifies only a revoked service or an election; the timer starts with the wait; histograms are kept by team. Conclusion: fewer wake-ups; the hand-offs per statement remain.

--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +21,14 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`citron_owner_refusals_total{code=%q}`, code)).Inc()
 }
 
+// queueWaits holds the histogram of each team, so that no name is formatted for a statement.
+var queueWaits sync.Map // string to *metrics.Histogram
+
 func countQueueWait(team string, d time.Duration) {
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`citron_owner_queue_wait_seconds{team=%q}`, team)).Update(d.Seconds())
+	h, ok := queueWaits.Load(team)
+	if !ok {
+		h = metrics.GetOrCreateHistogram(fmt.Sprintf(`citron_owner_queue_wait_seconds{team=%q}`, team))
+		queueWaits.Store(team, h)
+	}
+	h.(*metrics.Histogram).Update(d.Seconds())
 }
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -78,12 +78,17 @@
 		return nil, nil
 	}
 	from := s.cfg.Clock.Now()
-	limit := s.cfg.After(s.cfg.ReplicaWait)
+	var limit <-chan time.Time // set when the read has to wait
 	for ctx.Err() == nil && s.leaseValid() {
 		r.Waited = s.cfg.Clock.Now().Sub(from)
 		d, t := s.choose(r)
-		if d.Wait && s.awaitChange(ctx, limit) {
-			continue
+		if d.Wait {
+			if limit == nil {
+				limit = s.cfg.After(s.cfg.ReplicaWait)
+			}
+			if s.awaitChange(ctx, limit) {
+				continue
+			}
 		}
 		if t == nil {
 			return nil, nil
@@ -296,6 +301,13 @@
 func (s *service) writerDone() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropWriter()
+}
+
+// dropWriter wakes an election that waits for the last writer. The caller holds mu.
+func (s *service) dropWriter() {
 	s.writers--
-	s.notify()
+	if s.writers == 0 && s.election != nil {
+		s.notify()
+	}
 }
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -139,7 +139,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.active--
-	s.notify()
+	if s.revoked {
+		s.notify() // run waits for the last one
+	}
 }
 
 // attach registers the transaction with its connection, so that it can be cancelled and aborted.
@@ -169,9 +171,8 @@
 		delete(s.txs, t.key())
 	}
 	if t.p.primary {
-		s.writers--
+		s.dropWriter()
 	}
-	s.notify()
 }
 
 // detach ends the use of the connection. The pool keeps it only when all responses were read and the
