--- a/internal/agent/take.go
+++ b/internal/agent/take.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/ratelimit"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -35,6 +38,10 @@
 // Take spends tokens of a team's rate. Before it refuses, it asks the leader with Borrow. An error
 // is a *verdict.Error with verdict NotRun: 53400 when the rate is exceeded, 57P03 when no control
 // leader answers.
+//
+// While no leader answers, callers on open routes are let through without tokens, because open
+// routes must go on working on a host that is cut off from control. They are no team, so that no
+// team exceeds its rate by this.
 func (a *Agent) Take(ctx context.Context, team string, tokens int) error {
 	if tokens <= 0 {
 		return nil
@@ -43,6 +50,21 @@
 	if a.spend(team, n) {
 		return nil
 	}
+	if team != catalog.OpenTeam {
+		return a.borrow(ctx, team, n)
+	}
+	if a.Confirmed() > ratelimit.LotTTL {
+		return nil
+	}
+	err := a.borrow(ctx, team, n)
+	if refused, ok := errors.AsType[*verdict.Error](err); ok && refused.Code == verdict.CodeUnavailable && ctx.Err() == nil {
+		return nil
+	}
+	return err
+}
+
+// borrow asks the leader for tokens until there are enough to spend n.
+func (a *Agent) borrow(ctx context.Context, team string, n uint64) error {
 	quarantine := false // the bucket of a new leader starts empty; then one empty answer proves nothing
 	for range maxBorrowTries {
 		f := a.join(team, n)
--- a/internal/daemon/demo.go
+++ b/internal/daemon/demo.go
@@ -42,7 +42,8 @@
 // demo is a small installation in one process on loopback.
 type demo struct {
 	logger     log.Logger
-	dir        string // data folder of the control host
+	dir        string   // data folder of the control host
+	services   []string // names
 	authority  pki.Pair
 	control    *Daemon
 	entries    []*Daemon
@@ -51,11 +52,15 @@
 	keys       map[string]string // by team
 }
 
+func newDemo(logger log.Logger) *demo {
+	return &demo{logger: logger, services: demoServices, keys: map[string]string{}}
+}
+
 // RunDemo runs one control host, three entry hosts and two services of stand-in targets until ctx
 // ends. Once all entry hosts serve, it prints a line for each team, entry host and service, and the
 // address of the administration API.
 func RunDemo(ctx context.Context, logger log.Logger, out io.Writer) error {
-	d := &demo{logger: logger, keys: map[string]string{}}
+	d := newDemo(logger)
 	defer d.cleanUp()
 	if err := d.start(ctx); err != nil {
 		return errors.Join(err, d.shutdown())
@@ -133,7 +138,7 @@
 // configure applies the demo's catalog and draws a key for each team.
 func (d *demo) configure(ctx context.Context) error {
 	c := catalog.Change{ID: "demo", Operator: "demo"}
-	for _, name := range demoServices {
+	for _, name := range d.services {
 		c.Ops = append(c.Ops, catalog.Op{PutService: &catalog.PutService{Name: name, Service: catalog.Service{
 			Databases: demoDatabases, Slots: demoSlots, Connections: demoConnections,
 		}}})
@@ -187,7 +192,7 @@
 	for _, e := range d.entries {
 		urls = append(urls, "http://"+e.AdminAddr().String()+"/v1/announce")
 	}
-	for _, service := range demoServices {
+	for _, service := range d.services {
 		g, err := standin.StartGroup(standin.GroupConfig{Databases: demoDatabases, Config: standin.Config{
 			Target:      service + "-",
 			Database:    service,
@@ -213,7 +218,7 @@
 // awaitService waits until each service answers a query through each entry host.
 func (d *demo) awaitService(ctx context.Context) error {
 	for _, e := range d.entries {
-		for _, service := range demoServices {
+		for _, service := range d.services {
 			if err := awaitQuery(ctx, d.url(demoTeams[0], e, service)); err != nil {
 				return fmt.Errorf("service %s through %s: %w", service, e.settings.Host, err)
 			}
@@ -254,7 +259,7 @@
 func (d *demo) print(out io.Writer) {
 	for _, team := range demoTeams {
 		for _, e := range d.entries {
-			for _, service := range demoServices {
+			for _, service := range d.services {
 				fmt.Fprintln(out, "ready: "+d.url(team, e, service))
 			}
 		}
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -30,7 +30,7 @@
 func startDemo(t *testing.T) (*demo, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	d := &demo{logger: log.NewNopLogger(), keys: map[string]string{}}
+	d := newDemo(log.NewNopLogger())
 	t.Cleanup(func() {
 		cancel()
 		d.killAll()
