Lend rate tokens at once after a change of control leader

Cause: a new leader lent nothing for 2.2 s, since lots of its predecessor might be outstanding. Each loss of the control leader stopped the writes of all teams. Change: no leader lends more than 3/4 of a burst at a time; the next one lends the remainder at once if the change before was at least 2.2 s ago. A host keeps asking while the new bucket fills.

--- a/internal/agent/take.go
+++ b/internal/agent/take.go
@@ -65,8 +65,8 @@
 
 // borrow asks the leader for tokens until there are enough to spend n.
 func (a *Agent) borrow(ctx context.Context, team string, n uint64) error {
-	quarantine := false // the bucket of a new leader starts empty; then one empty answer proves nothing
-	for range maxBorrowTries {
+	quarantine := false // the bucket of a new leader starts empty; then an empty answer proves nothing
+	for tries := 0; tries < maxBorrowTries; {
 		f := a.join(team, n)
 		select {
 		case <-f.done:
@@ -79,6 +79,9 @@
 		if a.spendAgain(team, n) {
 			return nil
 		}
+		if f.lot.Wait == 0 {
+			tries++
+		}
 		quarantine = quarantine || f.lot.Wait > 0
 		if f.lot.Tokens == 0 && !quarantine {
 			break
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -67,12 +67,12 @@
 	until time.Time
 }
 
-func newLeader(since time.Time, term uint64) *leader {
+func newLeader(since time.Time, term uint64, calm bool) *leader {
 	return &leader{
 		term:     term,
 		since:    since,
 		table:    lease.NewTable(since),
-		keeper:   ratelimit.NewKeeper(since, term),
+		keeper:   ratelimit.NewKeeper(since, term, calm),
 		hosts:    map[string]*host{},
 		services: map[string]*service{},
 		targets:  map[string]announced{},
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -99,6 +99,13 @@
 	return Service{}
 }
 
+// LeaderTerm returns the consensus term of the latest leader whose barrier was applied.
+func (m *Machine) LeaderTerm() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.leaderTerm
+}
+
 // Names returns the services in the catalog and those that were recorded earlier, unordered.
 func (m *Machine) Names() []string {
 	m.mu.RLock()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/ratelimit"
 	"github.com/citronrun/citronrun/internal/transport"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -73,6 +74,10 @@
 	mu     sync.Mutex
 	lead   *leader // nil: this member doesn't lead
 	closed bool
+
+	otherTerm uint64    // consensus term of the latest barrier that was applied
+	otherSeen time.Time // when this member first saw it
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -159,6 +164,7 @@
 	since, term, ok := s.Log.Leading()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteLeaders()
 	if !ok {
 		s.lead = nil
 		return
@@ -166,11 +172,21 @@
 	if s.lead != nil && s.lead.term == term {
 		return
 	}
-	lead := newLeader(since, term)
+	calm := s.otherTerm != 0 && since.Sub(s.otherSeen) >= ratelimit.LotHold
+	lead := newLeader(since, term, calm)
 	s.lead = lead
 	s.background(func() { s.takeOver(lead) })
 }
 
+// noteLeaders notes when this member has first seen the barrier of the latest leader. That is after
+// the leader's election, so the time since then is never overestimated.
+func (s *Server) noteLeaders() {
+	if term := s.Machine.LeaderTerm(); term != s.otherTerm {
+		s.otherTerm = term
+		s.otherSeen = s.Clock.Now()
+	}
+}
+
 // takeOver commits the barrier. Once it is applied, the machine holds everything that earlier
 // leaders have committed, and the leader may act.
 func (s *Server) takeOver(lead *leader) {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -63,7 +63,7 @@
 	}
 	lead := s.lead
 	if lead == nil {
-		lead = newLeader(now, 0)
+		lead = newLeader(now, 0, false)
 	} else {
 		st.Leader = s.Name
 		st.Term = lead.term
--- a/internal/ratelimit/keeper.go
+++ b/internal/ratelimit/keeper.go
@@ -8,6 +8,10 @@
 // outstanding <= burst, where outstanding counts every lent token until its lot has expired or
 // its host has reported it as spent. The tokens spent in [a,b] are at most those outstanding at a
 // plus those lent after a. The latter are at most level(a)+rate*(b-a), so the bound holds exactly.
+//
+// A new leader doesn't know which lots its predecessor has lent. No leader lends more than
+// lentShare of the burst at once, so the new one counts that much as outstanding until those lots
+// have expired, and lends the rest meanwhile.
 package ratelimit
 
 import (
@@ -25,13 +29,23 @@
 	// Interval is the time between two renewals, for which lots are sized.
 	Interval = 500 * time.Millisecond
 
+	// lentShare is the part of a burst that may be outstanding. The remainder is what a new leader
+	// can lend at once.
+	lentShare = 0.75
+	// minSplitBurst is the burst in tokens below which the remainder would be less than one token;
+	// such bursts are lent whole.
+	minSplitBurst = 4
+
 	demandMemory = 2 * Interval
-	termShift    = 32 // a lot id is the leader's term and a counter of this many bits
+	minWait      = 20 * time.Millisecond // between two requests for tokens by one host
+	termShift    = 32                    // a lot id is the leader's term and a counter of this many bits
 )
 
 // Keeper is the lender of one leader for one consensus term. It is not safe for concurrent use.
 type Keeper struct {
+	elected time.Time
 	ready   time.Time // until then an earlier leader's lots may be spent
+	calm    bool      // only one earlier leader's lots may be spent until ready
 	lastID  uint64
 	buckets map[string]*bucket
 }
@@ -71,10 +85,14 @@
 }
 
 // NewKeeper returns the lender of a leader elected at the given time in the given consensus term.
-// It lends nothing until the lots of earlier leaders have expired, and starts with empty buckets.
-func NewKeeper(elected time.Time, term uint64) *Keeper {
+// Its buckets start empty. Calm says that the leader before was elected at least LotHold earlier, so
+// that lots of one leader at most are outstanding. Without it nothing is lent until all earlier
+// lots have expired.
+func NewKeeper(elected time.Time, term uint64, calm bool) *Keeper {
 	return &Keeper{
+		elected: elected,
 		ready:   elected.Add(LotHold),
+		calm:    calm,
 		lastID:  term << termShift,
 		buckets: map[string]*bucket{},
 	}
@@ -85,7 +103,7 @@
 func (k *Keeper) SetRate(now time.Time, team string, rate, burst float64) {
 	b := k.buckets[team]
 	if b == nil {
-		k.buckets[team] = &bucket{rate: rate, burst: burst, at: k.ready, borrowers: map[string]*borrower{}}
+		k.buckets[team] = k.newBucket(rate, burst)
 		return
 	}
 	b.advance(now)
@@ -93,6 +111,42 @@
 	b.level = min(b.level, b.room())
 }
 
+// earlierLeaders is the borrower that holds what earlier leaders may have lent. Hosts have names.
+const earlierLeaders = ""
+
+func (k *Keeper) newBucket(rate, burst float64) *bucket {
+	b := &bucket{rate: rate, burst: burst, at: k.elected, borrowers: map[string]*borrower{}}
+	inherited := burst
+	if k.calm {
+		inherited = b.lentLimit()
+	}
+	b.outstanding = inherited
+	before := &borrower{lots: []lentLot{{left: inherited, until: k.ready}}}
+	b.borrowers[earlierLeaders] = before
+	b.expiries = []expiry{{at: k.ready, of: before}}
+	return b
+}
+
+// lentLimit is the number of tokens that may be outstanding.
+func (b *bucket) lentLimit() float64 {
+	if b.burst < minSplitBurst {
+		return b.burst
+	}
+	return b.burst * lentShare
+}
+
+// lendable is the number of tokens that may be lent at present. What earlier leaders have lent
+// doesn't count against this leader's limit.
+func (b *bucket) lendable() float64 {
+	own := b.outstanding
+	if before := b.borrowers[earlierLeaders]; before != nil {
+		for _, lot := range before.lots {
+			own -= lot.left
+		}
+	}
+	return min(b.level, b.lentLimit()-own)
+}
+
 // Settle notes what a process holds of the lots that it has received.
 func (k *Keeper) Settle(now time.Time, who, team string, held wire.LotHeld) {
 	b := k.buckets[team]
@@ -133,10 +187,6 @@
 // the bucket is empty or the process has had its share.
 func (k *Keeper) Lend(now time.Time, who, team string, want uint64, renewal bool) wire.Lot {
 	lot := wire.Lot{Team: team, TTL: LotTTL}
-	if now.Before(k.ready) {
-		lot.Wait = k.ready.Sub(now)
-		return lot
-	}
 	b := k.buckets[team]
 	if b == nil || want == 0 {
 		return lot
@@ -145,8 +195,9 @@
 	b.divide(now)
 	br := b.borrower(who)
 	b.note(br, now, float64(want), renewal)
-	n := math.Floor(min(float64(want), b.level, b.share(br)))
+	n := math.Floor(min(float64(want), b.lendable(), b.share(br)))
 	if n < 1 {
+		lot.Wait = k.wait(now, b, float64(want))
 		return lot
 	}
 	k.lastID++
@@ -156,6 +207,17 @@
 	return lot
 }
 
+// wait returns how long a host should wait before it asks again, while the empty bucket of a new
+// leader proves nothing. It is 0 afterwards.
+func (k *Keeper) wait(now time.Time, b *bucket, want float64) time.Duration {
+	left := max(0, k.ready.Sub(now))
+	if b.rate == 0 || b.lendable()+1 > b.room() {
+		return left
+	}
+	refill := min(want, b.room()) / b.rate
+	return min(left, max(minWait, time.Duration(refill*float64(time.Second))))
+}
+
 func (b *bucket) lend(br *borrower, lot lentLot) {
 	b.level -= lot.left
 	b.outstanding += lot.left
