--- a/bench/internal/history/config.go
+++ b/bench/internal/history/config.go
@@ -34,7 +34,7 @@
 	Operator string
 	// Base is the revision that the change is based on.
 	Base uint64
-	// ChangeID is shared by resends.
+	// ChangeID is shared by resends, and unique to the change otherwise.
 	ChangeID string
 	Result   ConfigResult
 	// Revision is the new revision of an accepted change, or the current one that a conflict tells.
@@ -52,7 +52,7 @@
 // CheckConfig reports whether the events can be explained by one sequence of changes in which
 // each accepted change follows directly from its base and resends get the first response. The
 // events must contain every change submitted during the run. The detail describes what can't be
-// explained.
+// explained. A search that takes too long counts as not explained, and the detail says so.
 func CheckConfig(events []ConfigEvent) (ok bool, detail string) {
 	events = slices.Clone(events)
 	slices.SortStableFunc(events, func(a, b ConfigEvent) int { return cmp.Compare(a.Start, b.Start) })
@@ -63,8 +63,15 @@
 	if detail := sharedBase(changes); detail != "" {
 		return false, detail
 	}
+	changed := map[uint64]bool{}
+	for _, c := range changes {
+		changed[c.Base] = changed[c.Base] || c.Result == ConfigAccepted
+	}
 	var ops []porcupine.Operation
 	for _, c := range changes {
+		if c.Result == ConfigUnknown && changed[c.Base] {
+			continue // its base went to another change, so it had no effect
+		}
 		ops = append(ops, operation(c.Start, c.End, configStep(c)))
 	}
 	switch linearize(unknownRevision, ops) {
--- a/bench/internal/history/event.go
+++ b/bench/internal/history/event.go
@@ -18,7 +18,7 @@
 const (
 	// OK means that the request was acknowledged.
 	OK Outcome = iota
-	// NotRun means that the response said the request was not run.
+	// NotRun means that the response said the request was not run, such as 53400.
 	NotRun
 	// MayHaveRun means that the request may have taken effect: 08007, a broken connection or a
 	// timeout.
