--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -32,6 +32,8 @@
 		Initial:   d.settings.Control,
 		Bootstrap: d.settings.Bootstrap,
 		Logger:    d.logger,
+
+		SnapshotEntries: d.options.SnapshotEntries,
 	}, machine, peers)
 	if err != nil {
 		return fmt.Errorf("data_dir: %w", err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,8 @@
 type Options struct {
 	PeerTLS        *tls.Config // instead of settings.PeerTLS
 	TargetPassword string      // instead of settings.Targets.PasswordFile
+
+	SnapshotEntries uint64 // log entries between snapshots of a control host; 0: the default
 }
 
 // Daemon is a running process of citronrun.
--- a/internal/daemon/demo.go
+++ b/internal/daemon/demo.go
@@ -42,6 +42,7 @@
 // demo is a small installation in one process on loopback.
 type demo struct {
 	logger     log.Logger
+	options    Options  // of all hosts, besides PeerTLS
 	dir        string   // data folder of the control host
 	services   []string // names
 	authority  pki.Pair
@@ -132,7 +133,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return Start(s, d.logger, Options{PeerTLS: conf})
+	o := d.options
+	o.PeerTLS = conf
+	return Start(s, d.logger, o)
 }
 
 // configure applies the demo's catalog and draws a key for each team.
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -33,9 +33,16 @@
 
 // newFleet starts control hosts and entry hosts, without targets.
 func newFleet(t testing.TB, entries int) (*fleet, context.Context) {
+	t.Helper()
+	return newFleetWith(t, entries, Options{})
+}
+
+// newFleetWith is newFleet with options of all hosts.
+func newFleetWith(t testing.TB, entries int, o Options) (*fleet, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	d := newDemo(log.NewNopLogger())
+	d.options = o
 	f := &fleet{demo: d, t: t, net: newNetwork(), relays: map[string]*relay{}}
 	t.Cleanup(func() {
 		cancel()
