Accept consensus messages from control hosts only

Cause: any host with a certificate of the installation could send consensus messages. Change: certificates of control hosts carry the organisational unit 'control' (citronctl certs host -control). The transport refuses raft streams from other peers unseen, and a daemon with the control role doesn't start without the unit. Conclusion: an entry host's certificate no longer reaches the consensus handler.

--- a/internal/agent/cost_test.go
+++ b/internal/agent/cost_test.go
@@ -18,6 +18,7 @@
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/control"
+	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/transport"
 	"github.com/citronrun/citronrun/internal/transport/testtls"
 	"github.com/citronrun/citronrun/internal/wire"
@@ -43,13 +44,15 @@
 }
 
 // standInHosts runs agents until standard input is closed. Its arguments are the leader's address,
-// the authority's certificate and key in hexadecimal, and the number of agents.
+// the authority's certificate and key in hexadecimal, the number of agents, and the number of
+// databases of each service that they announce.
 func standInHosts(args []string) error {
 	cert, err1 := hex.DecodeString(args[1])
 	key, err2 := hex.DecodeString(args[2])
 	n, err3 := strconv.Atoi(args[3])
 	ca, err4 := testtls.Import(cert, key)
-	if err := errors.Join(err1, err2, err3, err4); err != nil {
+	databases, err5 := strconv.Atoi(args[4])
+	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
 		return err
 	}
 	for i := range n {
@@ -73,9 +76,13 @@
 			a.grants[g.Service] = g
 		})
 		a.Report(a.reports)
+		if databases > 0 {
+			a.Report(a.targetReports)
+		}
 		go func() { _ = e.Serve(context.Background()) }()
 		go func() { _ = a.Run(context.Background()) }()
 		go spendSteadily(a)
+		go announceSteadily(a, i, n, databases)
 	}
 	_, err := os.Stdin.Read(make([]byte, 1))
 	_ = err // end of file
@@ -92,6 +99,39 @@
 	}
 }
 
+// announceSteadily announces every second this host's part of the targets of all services.
+func announceSteadily(a *testAgent, host, hosts, databases int) {
+	for databases > 0 {
+		for i := host; i < costService*databases; i += hosts {
+			_, _ = a.Announce(context.Background(), wire.Announce{
+				Target: fmt.Sprint("target", i), Service: fmt.Sprint("service", i/databases),
+				Addr: fmt.Sprintf("10.0.%d.%d:5432", i/250, i%250), Place: "p",
+			})
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// targetReports reports all targets of the owned services, the first one as primary.
+func (a *testAgent) targetReports() []wire.ServiceReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var reports []wire.ServiceReport
+	for _, g := range a.grants {
+		r := wire.ServiceReport{Service: g.Service, Epoch: g.Epoch, Term: g.Term}
+		for i, target := range g.Targets {
+			role := "replica"
+			if i == 0 {
+				r.Primary, role = target.Target, "primary"
+			}
+			p := position.Position{Term: g.Term, Offset: uint64(time.Now().UnixMilli())}
+			r.Targets = append(r.Targets, wire.TargetReport{Target: target.Target, Role: role, Term: g.Term, Received: p, Applied: p})
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
 // countingTransport counts renewals.
 type countingTransport struct {
 	*transport.Endpoint
@@ -117,25 +157,28 @@
 
 // BenchmarkLeader measures what renewals cost the leader's process. The hosts run in a child
 // process. The log is a stand-in without disk and peers, so that the cost of consensus is not
-// included. Each host spends tokens of 8 teams; 250 services are owned.
+// included. Each host spends tokens of 8 teams; 250 services are owned, without targets or with three
+// databases each that announce themselves every second.
 func BenchmarkLeader(b *testing.B) {
-	for _, hosts := range []int{0, 50, 200, 530} {
-		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
-			for range b.N {
-				measureLeader(b, hosts)
-			}
-		})
+	for _, databases := range []int{0, 3} {
+		for _, hosts := range []int{0, 7, 50, 200, 530} {
+			b.Run(fmt.Sprint("databases=", databases*costService, "/hosts=", hosts), func(b *testing.B) {
+				for range b.N {
+					measureLeader(b, hosts, databases)
+				}
+			})
+		}
 	}
 }
 
-func measureLeader(b *testing.B, hosts int) {
+func measureLeader(b *testing.B, hosts, databases int) {
 	ca, err := testtls.NewAuthority()
 	if err != nil {
 		b.Fatal(err)
 	}
 	config := newTestConfig()
 	for i := range costService {
-		config.C.Services[fmt.Sprint("service", i)] = catalog.Service{Databases: 1}
+		config.C.Services[fmt.Sprint("service", i)] = catalog.Service{Databases: max(1, databases)}
 	}
 	for i := range costTeams {
 		config.C.Teams[fmt.Sprint("team", i)] = catalog.Team{}
@@ -156,7 +199,7 @@
 	done := make(chan struct{})
 	go func() { _ = e.Serve(ctx) }()
 	go func() { _ = server.Run(ctx); close(done) }()
-	stop := startStandIns(b, ca, e.Addr(), hosts)
+	stop := startStandIns(b, ca, e.Addr(), hosts, databases)
 
 	time.Sleep(costWarmUp)
 	cpu, count, start := cpuTime(b), renewals.Load(), time.Now()
@@ -172,16 +215,20 @@
 	<-done
 	b.ReportMetric(100*cpu.Seconds()/elapsed, "%core")
 	b.ReportMetric(float64(count)/elapsed, "renewals/s")
+	if count > 0 {
+		b.ReportMetric(float64(sentAfter-sent)/float64(count), "sent_B/renewal")
+		b.ReportMetric(float64(receivedAfter-received)/float64(count), "received_B/renewal")
+	}
 	b.ReportMetric(float64(sentAfter-sent)/elapsed, "sent_B/s")
 	b.ReportMetric(float64(receivedAfter-received)/elapsed, "received_B/s")
 }
 
-func startStandIns(b *testing.B, ca *testtls.Authority, addr string, hosts int) func() {
+func startStandIns(b *testing.B, ca *testtls.Authority, addr string, hosts, databases int) func() {
 	cert, key, err := ca.Export()
 	if err != nil {
 		b.Fatal(err)
 	}
-	child := exec.Command(os.Args[0], addr, hex.EncodeToString(cert), hex.EncodeToString(key), strconv.Itoa(hosts))
+	child := exec.Command(os.Args[0], addr, hex.EncodeToString(cert), hex.EncodeToString(key), strconv.Itoa(hosts), strconv.Itoa(databases))
 	child.Env = append(os.Environ(), standInEnv+"=1")
 	child.Stderr = os.Stderr
 	in, err := child.StdinPipe()
--- a/internal/ctl/certs.go
+++ b/internal/ctl/certs.go
@@ -15,13 +15,14 @@
 	example: "citronctl certs host entry-1 10.0.0.1 -dir pki",
 	setup: func(fs *flag.FlagSet) func(context.Context, *env, []string) error {
 		dir := fs.String("dir", ".", "folder of the files")
+		control := fs.Bool("control", false, "make the certificate of a control host")
 		days := fs.Int("days", 0, "lifetime in days; 0: ten years for the authority, one year for a host")
 		return func(_ context.Context, e *env, args []string) error {
 			switch {
 			case len(args) == 1 && args[0] == "authority":
 				return makeAuthority(e, *dir, lifetime(*days, pki.AuthorityLifetime))
 			case len(args) >= 2 && args[0] == "host":
-				return makeHost(e, *dir, args[1], args[2:], lifetime(*days, pki.HostLifetime))
+				return makeHost(e, *dir, args[1], args[2:], lifetime(*days, pki.HostLifetime), units(*control))
 			default:
 				return usagef("want authority, or host NAME [IP...]")
 			}
@@ -36,6 +37,13 @@
 	return time.Duration(days) * 24 * time.Hour
 }
 
+func units(control bool) []string {
+	if control {
+		return []string{pki.ControlUnit}
+	}
+	return nil
+}
+
 func makeAuthority(e *env, dir string, life time.Duration) error {
 	pair, err := pki.NewAuthority(time.Now(), life)
 	if err != nil {
@@ -48,7 +56,7 @@
 	return nil
 }
 
-func makeHost(e *env, dir, name string, addrs []string, life time.Duration) error {
+func makeHost(e *env, dir, name string, addrs []string, life time.Duration, units []string) error {
 	var ips []net.IP
 	for _, a := range addrs {
 		ip := net.ParseIP(a)
@@ -61,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	pair, err := pki.NewHost(ca, name, ips, time.Now(), life)
+	pair, err := pki.NewHost(ca, name, ips, time.Now(), life, units...)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -10,6 +10,7 @@
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/control"
+	"github.com/citronrun/citronrun/internal/pki"
 	"github.com/citronrun/citronrun/internal/replica"
 	"github.com/citronrun/citronrun/internal/settings"
 	"github.com/citronrun/citronrun/internal/transport"
@@ -38,6 +39,7 @@
 	if err != nil {
 		return fmt.Errorf("data_dir: %w", err)
 	}
+	d.endpoint.Require(wire.KindRaft, pki.ControlUnit)
 	d.endpoint.Handle(wire.KindRaft, receiveRaft(d.replica))
 	d.control = control.New(control.Config{
 		Name:      d.settings.Host,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -123,6 +123,9 @@
 			return fmt.Errorf("peer_tls: %w", err)
 		}
 	}
+	if d.settings.Has(settings.RoleControl) && !pki.HasUnit(conf, pki.ControlUnit) {
+		return fmt.Errorf("peer_tls: the control role needs a certificate with the organisational unit %q (citronctl certs host -control)", pki.ControlUnit)
+	}
 	e, err := transport.Listen(d.settings.Listen.Peers, conf, d.logger)
 	if err != nil {
 		return fmt.Errorf("listen.peers: %w", err)
--- a/internal/daemon/demo.go
+++ b/internal/daemon/demo.go
@@ -125,7 +125,11 @@
 }
 
 func (d *demo) host(s *settings.Settings) (*Daemon, error) {
-	pair, err := pki.NewHost(d.authority, s.Host, nil, time.Now(), pki.HostLifetime)
+	var units []string
+	if s.Has(settings.RoleControl) {
+		units = []string{pki.ControlUnit}
+	}
+	pair, err := pki.NewHost(d.authority, s.Host, nil, time.Now(), pki.HostLifetime, units...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/partition_test.go
+++ b/internal/daemon/partition_test.go
@@ -11,6 +11,9 @@
 	"github.com/matryer/is"
 
 	"github.com/citronrun/citronrun/internal/entry"
+	"github.com/citronrun/citronrun/internal/settings"
+	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wire"
 )
 
 // through makes sure that writes are acknowledged after a fault, and logs the gap that it caused.
@@ -231,3 +234,20 @@
 	f.net.heal()
 	f.eventually(withdrawalBound, "configuration arrives", func() bool { return late.Agent().Catalog() != nil })
 }
+
+// Guards against consensus messages that a control host accepts from a host without that role.
+func TestConsensusOnlyAmongControlHosts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f, ctx := newFleet(t, 1)
+	for i := range fleetControls {
+		to := f.relays[controlName(i)].addr()
+		err := f.entries[0].endpoint.Call(ctx, to, wire.KindRaft, []byte{}, nil)
+		is.True(err != nil)
+		is.Equal(verdict.Of(err), verdict.NotRun) // no handler has seen the stream
+		is.NoErr(f.controls[(i+1)%fleetControls].endpoint.Call(ctx, to, wire.KindRaft, []byte{}, nil))
+	}
+	s := f.demo.settings("entry-1", settings.RoleControl) // the role of a control host, without its certificate
+	_, err := Start(s, f.logger, Options{PeerTLS: f.entries[0].options.PeerTLS})
+	is.True(err != nil)
+}
--- a/internal/pki/config.go
+++ b/internal/pki/config.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -110,3 +111,16 @@
 	}
 	return r.cert, nil
 }
+
+// HasUnit reports whether the certificate of a configuration from PeerConfig or PeerConfigFromFiles
+// names an organisational unit.
+func HasUnit(conf *tls.Config, unit string) bool {
+	if conf.GetClientCertificate == nil {
+		return false
+	}
+	cert, err := conf.GetClientCertificate(&tls.CertificateRequestInfo{})
+	if err != nil || cert.Leaf == nil {
+		return false
+	}
+	return slices.Contains(cert.Leaf.Subject.OrganizationalUnit, unit)
+}
--- a/internal/pki/pki.go
+++ b/internal/pki/pki.go
@@ -18,6 +18,10 @@
 	"time"
 )
 
+// ControlUnit is the organisational unit in the certificates of control hosts. Consensus messages are
+// accepted from hosts with this unit only.
+const ControlUnit = "control"
+
 // PeerName is the DNS name in every host certificate. Daemons dial each other by IP address, so the
 // name that is verified is the same for all; the common name tells the hosts apart.
 const PeerName = "peer.citronrun.internal"
@@ -59,8 +63,9 @@
 }
 
 // NewHost makes a certificate for a host, signed by the authority. The addresses are added so that
-// the certificate can also serve the administration API.
-func NewHost(authority Pair, host string, addrs []net.IP, now time.Time, lifetime time.Duration) (Pair, error) {
+// the certificate can also serve the administration API. Units are the organisational units; a control
+// host needs ControlUnit.
+func NewHost(authority Pair, host string, addrs []net.IP, now time.Time, lifetime time.Duration, units ...string) (Pair, error) {
 	if host == "" {
 		return Pair{}, errors.New("the host's name is empty")
 	}
@@ -72,6 +77,7 @@
 	if err != nil {
 		return Pair{}, err
 	}
+	template.Subject.OrganizationalUnit = units
 	template.DNSNames = []string{PeerName}
 	template.IPAddresses = addrs
 	template.KeyUsage = x509.KeyUsageDigitalSignature
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -51,6 +51,7 @@
 	quic      *quic.Config
 	logger    log.Logger
 	handlers  map[wire.Kind]Handler
+	units     map[wire.Kind]string // organisational unit that a peer's certificate needs
 
 	mu     sync.Mutex
 	dials  map[string]*dial
@@ -81,6 +82,7 @@
 		quic:      quicConfig(),
 		logger:    log.With(logger, "part", "transport"),
 		handlers:  map[wire.Kind]Handler{},
+		units:     map[wire.Kind]string{},
 		dials:     map[string]*dial{},
 	}
 	e.listener, err = e.transport.Listen(serverTLS, e.quic)
@@ -134,6 +136,10 @@
 	e.handlers[kind] = h
 }
 
+// Require refuses streams of a kind from peers whose certificate lacks an organisational unit. It must
+// be called before Serve.
+func (e *Endpoint) Require(kind wire.Kind, unit string) { e.units[kind] = unit }
+
 // Serve accepts connections until ctx ends or Close is called. It returns nil in both cases.
 func (e *Endpoint) Serve(ctx context.Context) error {
 	for {
@@ -211,7 +217,7 @@
 func (e *Endpoint) serveStream(conn *quic.Conn, peer string, qs *quic.Stream) {
 	defer e.streams.Done()
 	s := &stream{qs: qs}
-	h, err := e.acceptHeader(qs)
+	h, err := e.acceptHeader(conn, qs)
 	if err != nil {
 		_ = level.Debug(e.logger).Log("msg", "stream refused", "peer", peer, "err", err)
 		s.cancel(codeRefused)
@@ -230,7 +236,7 @@
 }
 
 // acceptHeader reads the header and returns the handler of its kind.
-func (e *Endpoint) acceptHeader(qs *quic.Stream) (Handler, error) {
+func (e *Endpoint) acceptHeader(conn *quic.Conn, qs *quic.Stream) (Handler, error) {
 	if err := qs.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
 		return nil, err
 	}
@@ -245,5 +251,8 @@
 	if !ok {
 		return nil, fmt.Errorf("stream kind %d is not supported", header.Kind)
 	}
+	if unit, ok := e.units[header.Kind]; ok && !hasUnit(conn.ConnectionState().TLS, unit) {
+		return nil, fmt.Errorf("stream kind %d needs a certificate with the organisational unit %q", header.Kind, unit)
+	}
 	return h, qs.SetReadDeadline(time.Time{})
 }
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // tlsConfigs derives the configurations for accepting and for dialing.
@@ -64,3 +65,8 @@
 	}
 	return name, nil
 }
+
+// hasUnit reports whether the peer's certificate names an organisational unit.
+func hasUnit(state tls.ConnectionState, unit string) bool {
+	return len(state.PeerCertificates) > 0 && slices.Contains(state.PeerCertificates[0].Subject.OrganizationalUnit, unit)
+}
