Add metrics and state of control, agent and transport

Cause: leadership, renewals, lots, failover phases and traffic between hosts were not visible. Change: citron_control_*, citron_agent_* and citron_transport_* in /metrics, transport in the state dump. Endpoint.Traffic now covers all connections since Listen, including closed and duplicate ones, so that it can serve as a counter. Conclusion: TestControlMetrics checks the names and that closed connections still count.

--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -60,6 +60,7 @@
 		err := a.Transport.Call(attempt, addr, wire.KindRenew, req, &reply)
 		cancel()
 		if err != nil {
+			renewalsFailed.Inc()
 			_ = level.Debug(a.Logger).Log("msg", "renewal failed", "control", addr, "err", err)
 			a.lost(addr)
 			continue
@@ -68,6 +69,7 @@
 			a.referred(addr, reply.LeaderAddr)
 			continue
 		}
+		renewals.Inc()
 		a.accept(sent, addr, req, &reply)
 		return
 	}
@@ -191,6 +193,7 @@
 	}
 	if old := a.catalog.Load(); old == nil || revision(c) > revision(old) {
 		a.catalog.Store(c)
+		catalogsTaken.Inc()
 	}
 }
 
--- a/internal/agent/take.go
+++ b/internal/agent/take.go
@@ -87,6 +87,7 @@
 			return unreachable(context.Cause(ctx))
 		}
 	}
+	rateRefusals.Inc()
 	return verdict.New(verdict.NotRun, verdict.CodeRateExceeded, "the rate of team %q is exceeded", team)
 }
 
@@ -155,9 +156,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if f.err != nil {
+		borrowsFailed.Inc()
 		f.err = fmt.Errorf("borrow: %w", f.err)
 		return
 	}
+	if f.lot.Tokens == 0 {
+		borrowsEmpty.Inc()
+	} else {
+		borrows.Inc()
+	}
 	a.borrower.Add(sent, f.lot)
 	a.lastBorrow[team] = borrowed{at: a.Clock.Now(), empty: f.lot.Tokens == 0}
 }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -16,6 +16,7 @@
 	}
 	lead := s.confirmed(ctx)
 	if lead == nil {
+		referrals.Inc()
 		return s.notLeader(), nil
 	}
 	now := s.Clock.Now()
@@ -24,6 +25,7 @@
 	if s.lead != lead {
 		return s.notLeader(), nil
 	}
+	renewals.Inc()
 	s.noteHost(lead, now, req)
 	s.noteReturns(lead, now, req)
 	s.noteReports(lead, now, req)
@@ -132,6 +134,7 @@
 	}
 	for team, want := range req.Demand {
 		lot := lead.keeper.Lend(now, who, team, want, true)
+		countLot(lot)
 		if lot.Tokens > 0 {
 			reply.Lots = append(reply.Lots, lot)
 		}
@@ -159,6 +162,7 @@
 	who := borrowerID(req.Host, req.BootID)
 	lead.keeper.Settle(now, who, req.Team, req.Held)
 	lot := lead.keeper.Lend(now, who, req.Team, req.Tokens, false)
+	countLot(lot)
 	return &lot, nil
 }
 
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -30,6 +30,7 @@
 	if !ok {
 		return &wire.ChangeReply{Message: fmt.Sprint(result)}, nil
 	}
+	countChange(string(decided.Code))
 	data, err := wire.Marshal(decided)
 	if err != nil {
 		return nil, fmt.Errorf("encode result: %w", err)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -188,6 +188,7 @@
 		return
 	}
 	_ = level.Info(s.Logger).Log("msg", "leadership taken over", "term", lead.term)
+	takeovers.Inc()
 	lead.ready = true
 	lead.readyAt = s.Clock.Now()
 }
--- a/internal/control/steps.go
+++ b/internal/control/steps.go
@@ -44,6 +44,7 @@
 	actions := sv.machine.Step(s.input(lead, now, name, state, sv, moving))
 	after := sv.machine.Phase()
 	if after != before {
+		countPhase(after)
 		_ = level.Info(s.Logger).Log("msg", "service changed phase", "service", name, "phase", after, "epoch", state.Owner.Epoch, "term", state.Term)
 	}
 	if after == failover.Releasing && before != after {
--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -6,11 +6,13 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 
@@ -351,3 +353,30 @@
 	f.checkKept(accepted, append(left, f.entries[0].Agent(), f.entries[1].Agent()))
 	is.Equal(revision, uint64(41))
 }
+
+// Guards against metrics and state that are missing, or that count nothing.
+func TestControlMetrics(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f, ctx := newFleet(t, 1)
+	f.change(ctx, map[string]bool{}, f.entries[0].Agent(), "a", "a", 0)
+	leader := f.controls[f.awaitLeader(-1)]
+	var out strings.Builder
+	leader.metrics.WritePrometheus(&out)
+	metrics.WritePrometheus(&out, false)
+	for _, name := range []string{
+		"citron_control_leader 1", "citron_control_term", "citron_control_commit_index", "citron_control_applied_index",
+		"citron_control_renewals_total", "citron_control_lots_refused_total", `citron_control_changes_total{result="accepted"}`,
+		"citron_agent_confirmed_seconds", "citron_agent_leases", "citron_agent_renewals_total", "citron_agent_borrows_total",
+		"citron_transport_sent_bytes_total", "citron_transport_received_bytes_total",
+	} {
+		if !strings.Contains(out.String(), name) {
+			t.Errorf("no metric %s", name)
+		}
+	}
+	before := leader.traffic()
+	is.True(before.Sent > 0 && before.Received > 0 && before.Connections > 0)
+	leader.endpoint.Sever(f.relays["entry-1"].addr())
+	is.True(leader.traffic().Sent >= before.Sent) // closed connections still count
+	is.True(leader.stateParts()["transport"]() != nil)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	for _, step := range []func(context.Context) error{
-		d.listenPeers, d.openControl, d.buildAgent, d.buildEntry, d.listenAdmin, d.run,
+		d.listenPeers, d.openControl, d.buildAgent, d.buildEntry, d.buildMetrics, d.listenAdmin, d.run,
 	} {
 		if err := step(ctx); err != nil {
 			d.abort()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -186,7 +186,7 @@
 
 // stateParts returns the parts of the state dump.
 func (d *Daemon) stateParts() map[string]func() any {
-	parts := map[string]func() any{"agent": d.agent.State}
+	parts := map[string]func() any{"agent": d.agent.State, "transport": func() any { return d.traffic() }}
 	if d.entry != nil {
 		parts["entry"] = d.entry.State
 		parts["owner"] = d.owner.State
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -53,9 +53,11 @@
 	handlers  map[wire.Kind]Handler
 	units     map[wire.Kind]string // organisational unit that a peer's certificate needs
 
-	mu     sync.Mutex
-	dials  map[string]*dial
-	closed bool
+	mu             sync.Mutex
+	dials          map[string]*dial
+	closed         bool
+	conns          map[*quic.Conn]struct{} // open
+	sent, received uint64                  // bytes, on closed connections
 
 	streams sync.WaitGroup
 }
@@ -84,6 +86,7 @@
 		handlers:  map[wire.Kind]Handler{},
 		units:     map[wire.Kind]string{},
 		dials:     map[string]*dial{},
+		conns:     map[*quic.Conn]struct{}{},
 	}
 	e.listener, err = e.transport.Listen(serverTLS, e.quic)
 	if err != nil {
@@ -110,27 +113,43 @@
 // Addr returns the bound address, IP:PORT.
 func (e *Endpoint) Addr() string { return e.socket.LocalAddr().String() }
 
-// Traffic returns the bytes sent and received on the open connections that requests use, without
-// UDP and IP headers.
+// Traffic returns the bytes sent and received since Listen on all connections, without UDP and IP
+// headers.
 func (e *Endpoint) Traffic() (sent, received uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, d := range e.dials {
-		select {
-		case <-d.done:
-		default:
-			continue
-		}
-		if d.err != nil {
-			continue
-		}
-		stats := d.conn.ConnectionStats()
+	sent, received = e.sent, e.received
+	for conn := range e.conns {
+		stats := conn.ConnectionStats()
 		sent += stats.BytesSent
 		received += stats.BytesReceived
 	}
 	return sent, received
 }
 
+// Connections returns the number of open connections.
+func (e *Endpoint) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.conns)
+}
+
+func (e *Endpoint) track(conn *quic.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conns[conn] = struct{}{}
+}
+
+// untrack keeps the traffic of a closed connection.
+func (e *Endpoint) untrack(conn *quic.Conn) {
+	stats := conn.ConnectionStats()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.conns, conn)
+	e.sent += stats.BytesSent
+	e.received += stats.BytesReceived
+}
+
 // Handle registers the handler of a kind of streams. It must be called before Serve.
 func (e *Endpoint) Handle(kind wire.Kind, h func(ctx context.Context, peer string, s Stream)) {
 	e.handlers[kind] = h
@@ -185,6 +204,8 @@
 }
 
 func (e *Endpoint) serveConn(conn *quic.Conn) {
+	e.track(conn)
+	defer e.untrack(conn)
 	peer, err := peerName(conn.ConnectionState().TLS)
 	if err != nil {
 		_ = level.Warn(e.logger).Log("msg", "connection refused", "addr", conn.RemoteAddr(), "err", err)
