--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,8 @@
 type Options struct {
 	PeerTLS        *tls.Config // instead of settings.PeerTLS
 	TargetPassword string      // instead of settings.Targets.PasswordFile
+
+	SnapshotEntries uint64 // log entries between snapshots of a control host; 0: the default
 }
 
 // Daemon is a running process of citronrun.
@@ -81,7 +83,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	for _, step := range []func(context.Context) error{
-		d.listenPeers, d.openControl, d.buildAgent, d.buildEntry, d.listenAdmin, d.run,
+		d.listenPeers, d.openControl, d.buildAgent, d.buildEntry, d.buildMetrics, d.listenAdmin, d.run,
 	} {
 		if err := step(ctx); err != nil {
 			d.abort()
@@ -121,6 +123,9 @@
 			return fmt.Errorf("peer_tls: %w", err)
 		}
 	}
+	if d.settings.Has(settings.RoleControl) && !pki.HasUnit(conf, pki.ControlUnit) {
+		return fmt.Errorf("peer_tls: the control role needs a certificate with the organisational unit %q (citronctl certs host -control)", pki.ControlUnit)
+	}
 	e, err := transport.Listen(d.settings.Listen.Peers, conf, d.logger)
 	if err != nil {
 		return fmt.Errorf("listen.peers: %w", err)
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -51,10 +51,13 @@
 	quic      *quic.Config
 	logger    log.Logger
 	handlers  map[wire.Kind]Handler
+	units     map[wire.Kind]string // organisational unit that a peer's certificate needs
 
-	mu     sync.Mutex
-	dials  map[string]*dial
-	closed bool
+	mu             sync.Mutex
+	dials          map[string]*dial
+	closed         bool
+	conns          map[*quic.Conn]struct{} // open
+	sent, received uint64                  // bytes, on closed connections
 
 	streams sync.WaitGroup
 }
@@ -81,7 +84,9 @@
 		quic:      quicConfig(),
 		logger:    log.With(logger, "part", "transport"),
 		handlers:  map[wire.Kind]Handler{},
+		units:     map[wire.Kind]string{},
 		dials:     map[string]*dial{},
+		conns:     map[*quic.Conn]struct{}{},
 	}
 	e.listener, err = e.transport.Listen(serverTLS, e.quic)
 	if err != nil {
@@ -108,32 +113,52 @@
 // Addr returns the bound address, IP:PORT.
 func (e *Endpoint) Addr() string { return e.socket.LocalAddr().String() }
 
-// Traffic returns the bytes sent and received on the open connections that requests use, without
-// UDP and IP headers.
+// Traffic returns the bytes sent and received since Listen on all connections, without UDP and IP
+// headers.
 func (e *Endpoint) Traffic() (sent, received uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, d := range e.dials {
-		select {
-		case <-d.done:
-		default:
-			continue
-		}
-		if d.err != nil {
-			continue
-		}
-		stats := d.conn.ConnectionStats()
+	sent, received = e.sent, e.received
+	for conn := range e.conns {
+		stats := conn.ConnectionStats()
 		sent += stats.BytesSent
 		received += stats.BytesReceived
 	}
 	return sent, received
 }
 
+// Connections returns the number of open connections.
+func (e *Endpoint) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.conns)
+}
+
+func (e *Endpoint) track(conn *quic.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conns[conn] = struct{}{}
+}
+
+// untrack keeps the traffic of a closed connection.
+func (e *Endpoint) untrack(conn *quic.Conn) {
+	stats := conn.ConnectionStats()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.conns, conn)
+	e.sent += stats.BytesSent
+	e.received += stats.BytesReceived
+}
+
 // Handle registers the handler of a kind of streams. It must be called before Serve.
 func (e *Endpoint) Handle(kind wire.Kind, h func(ctx context.Context, peer string, s Stream)) {
 	e.handlers[kind] = h
 }
 
+// Require refuses streams of a kind from peers whose certificate lacks an organisational unit. It must
+// be called before Serve.
+func (e *Endpoint) Require(kind wire.Kind, unit string) { e.units[kind] = unit }
+
 // Serve accepts connections until ctx ends or Close is called. It returns nil in both cases.
 func (e *Endpoint) Serve(ctx context.Context) error {
 	for {
@@ -179,6 +204,8 @@
 }
 
 func (e *Endpoint) serveConn(conn *quic.Conn) {
+	e.track(conn)
+	defer e.untrack(conn)
 	peer, err := peerName(conn.ConnectionState().TLS)
 	if err != nil {
 		_ = level.Warn(e.logger).Log("msg", "connection refused", "addr", conn.RemoteAddr(), "err", err)
@@ -211,7 +238,7 @@
 func (e *Endpoint) serveStream(conn *quic.Conn, peer string, qs *quic.Stream) {
 	defer e.streams.Done()
 	s := &stream{qs: qs}
-	h, err := e.acceptHeader(qs)
+	h, err := e.acceptHeader(conn, qs)
 	if err != nil {
 		_ = level.Debug(e.logger).Log("msg", "stream refused", "peer", peer, "err", err)
 		s.cancel(codeRefused)
@@ -230,7 +257,7 @@
 }
 
 // acceptHeader reads the header and returns the handler of its kind.
-func (e *Endpoint) acceptHeader(qs *quic.Stream) (Handler, error) {
+func (e *Endpoint) acceptHeader(conn *quic.Conn, qs *quic.Stream) (Handler, error) {
 	if err := qs.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
 		return nil, err
 	}
@@ -245,5 +272,8 @@
 	if !ok {
 		return nil, fmt.Errorf("stream kind %d is not supported", header.Kind)
 	}
+	if unit, ok := e.units[header.Kind]; ok && !hasUnit(conn.ConnectionState().TLS, unit) {
+		return nil, fmt.Errorf("stream kind %d needs a certificate with the organisational unit %q", header.Kind, unit)
+	}
 	return h, qs.SetReadDeadline(time.Time{})
 }
