Bound idle transactions and the wait for a slot within a block

A caller that left its transaction idle held one of the scarce connections for ever. The wait for the next slot within a block had no bound either; it is bounded by the request's timeout. The block then fails with NotRun and reports the failed state, so that later statements of it can't run alone.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -50,6 +50,7 @@
 	pending  int       // ReadyForQuery that the owner still has to send
 	started  time.Time // of the request that runs
 	waiting  bool      // the loop waits for a request
+	idle     idleBound // of the wait for the caller within a transaction
 	draining bool
 	dead     bool // the connection is given up
 	skipLost bool // the responder failed a batch whose Sync is still to come
@@ -94,6 +95,9 @@
 }
 
 func (c *caller) readError(err error) error {
+	if e, ok := errors.AsType[*verdict.Error](err); ok {
+		return e
+	}
 	if errors.Is(err, pgwire.ErrFrameLength) {
 		return protocolError("message of invalid length")
 	}
@@ -118,6 +122,9 @@
 	if c.isDead() {
 		return nil, errEnded
 	}
+	if e := c.idleError(); e != nil {
+		return nil, e
+	}
 	return f, err
 }
 
@@ -125,6 +132,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = waiting && c.batch.empty() && !c.skip
+	c.idle.reading = waiting
+	c.boundIdle()
 	if waiting {
 		c.wakeIfIdle()
 		return
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -63,6 +63,7 @@
 	StatementTimeout time.Duration // time to start running, unless citron.timeout says otherwise
 	RetryTimeout     time.Duration // for refused requests, from the first attempt
 	ReadBufferBytes  int           // per caller
+	IdleTimeout      time.Duration // wait for a caller within a transaction
 
 	// Parameters are reported to callers at connect and are what targets use. Nil: defaults.
 	Parameters map[string]string
@@ -77,6 +78,9 @@
 	DefaultStatementTimeout = 10 * time.Second
 	DefaultRetryTimeout     = 5 * time.Second
 	DefaultReadBufferBytes  = 2 << 10
+	// DefaultIdleTimeout bounds the wait for the caller while its transaction holds a connection.
+	// Connections are scarce: one that is held by an idle caller is missing for all others.
+	DefaultIdleTimeout = 60 * time.Second
 )
 
 const (
@@ -132,6 +136,7 @@
 	setTime(&c.WriteTimeout, DefaultWriteTimeout)
 	setTime(&c.StatementTimeout, DefaultStatementTimeout)
 	setTime(&c.RetryTimeout, DefaultRetryTimeout)
+	setTime(&c.IdleTimeout, DefaultIdleTimeout)
 	if c.Parameters == nil {
 		c.Parameters = defaultParameters()
 	}
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -280,6 +280,7 @@
 // startCopy notes that the target entered copy-in mode, where it ignores a Sync sent before.
 func (c *caller) startCopy(tx *transaction, request byte) {
 	tx.copyIn = true
+	c.boundIdle()
 	c.cond.Broadcast()
 	if request == pgwire.Execute && c.tracker.DropSync() {
 		c.pending--
@@ -336,6 +337,7 @@
 	c.pending = max(c.pending-1, 0)
 	tx.partial = false
 	c.srv.metrics.latency.UpdateDuration(c.started)
+	defer c.boundIdle()
 	switch f.Body()[0] {
 	case pgwire.TxBlock:
 		c.fire(session.EventReadyBlock)
--- a/internal/owner/down.go
+++ b/internal/owner/down.go
@@ -220,6 +220,7 @@
 	}
 	sent := t.sent
 	gone := t.cause == errCallerGone
+	block := t.p.conn != nil && t.p.conn.TxStatus() != pgwire.TxIdle
 	t.kill()
 	t.cond.Broadcast()
 	t.mu.Unlock()
@@ -238,7 +239,11 @@
 		t.d.out = pgwire.AppendStatus(t.d.out, pgwire.StatusToken, position.SeenToken(t.s.name, req.Floor, t.addSeen(req.Seen)))
 	}
 	t.d.out = pgwire.AppendError(t.d.out, e)
-	t.d.out = pgwire.AppendReady(t.d.out, pgwire.TxIdle)
+	status := byte(pgwire.TxIdle)
+	if block && e.Verdict == verdict.NotRun {
+		status = pgwire.TxFailed // the caller may send more statements of the block, which must not run alone
+	}
+	t.d.out = pgwire.AppendReady(t.d.out, status)
 	t.flush()
 }
 
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -306,3 +306,31 @@
 		is.Equal(len(h.targets["c"].statement), 20)
 	})
 }
+
+// Guards against a statement of a block that waits for a slot without a bound, an unclear outcome for
+// it, and later statements of the block that run alone.
+func TestSlotWithinBlockIsBounded(t *testing.T) {
+	is := is.New(t)
+	bubble(t, func(h *harness) {
+		c := h.open(write, "BEGIN")
+		is.Equal(c.read().status, byte('T'))
+		h.edit(func() { h.targets["a"].hook = func(string) string { return "hang" } })
+		var others []*caller
+		for range 2 { // all slots
+			others = append(others, h.open(write, "INSERT"))
+		}
+		synctest.Wait()
+		from := time.Now()
+		r := c.query("INSERT")
+		is.Equal(r.code, "53300")
+		is.Equal(r.detail, "verdict: NotRun")
+		is.Equal(r.status, byte('E'))
+		is.Equal(time.Since(from), write.Timeout)
+		is.Equal(len(h.targets["a"].statement), 3) // nothing was sent
+		_, err := c.r.Next()
+		is.True(err != nil) // the block has ended
+		for _, o := range append(others, c) {
+			_ = o.Close()
+		}
+	})
+}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -34,7 +34,8 @@
 	rule     catalog.Rule
 	team     string
 	arrived  time.Time
-	deadline time.Time // latest start
+	deadline time.Time     // latest start
+	timeout  time.Duration // of the start, and of the wait for a slot within a block
 }
 
 func (s *service) newJob(req wire.TxRequest) (job, time.Duration) {
@@ -47,6 +48,7 @@
 		timeout = DefaultStartTimeout
 	}
 	j.arrived = s.cfg.Clock.Now()
+	j.timeout = timeout
 	j.deadline = j.arrived.Add(timeout)
 	return j, timeout
 }
--- a/internal/owner/up.go
+++ b/internal/owner/up.go
@@ -73,7 +73,9 @@
 		t.abort(errLeaseExpired)
 		return false
 	}
-	if err := p.ticket.Resume(t.ctx); err != nil {
+	ctx, cancel := context.WithTimeout(t.ctx, t.job.timeout)
+	defer cancel()
+	if err := p.ticket.Resume(ctx); err != nil {
 		t.abort(err)
 		return false
 	}
