Relay rows at once when the target has no more at hand

Rows were collected up to 16 KiB or the end of the result, so that the rows of a slow query waited in the owner. They are now written when no further whole frame has arrived. A partial frame counts as not arrived, since targets write their buffer without regard to frames.

--- a/internal/owner/down.go
+++ b/internal/owner/down.go
@@ -120,7 +120,8 @@
 	return t.syncs
 }
 
-// mustFlush reports whether collected responses go out now. Rows are collected up to a size. Frames
+// mustFlush reports whether collected responses go out now. Rows are collected up to a
+// size and as long as more have arrived. Frames
 // that precede the first row of a read wait for it, so that the read can still run at the primary,
 // unless the caller may wait for them before its Sync.
 func (t *tx) mustFlush(typ byte) bool {
@@ -128,14 +129,12 @@
 		return true
 	}
 	switch typ {
-	case pgwire.DataRow:
-		return false
+	case pgwire.DataRow, pgwire.CopyData:
+		return !t.p.conn.HasNext() // rows must not wait while the target looks for more
 	case pgwire.ParseComplete, pgwire.BindComplete, pgwire.RowDescription, pgwire.ParameterDescription,
 		pgwire.NoData, pgwire.NoticeResponse, pgwire.ParameterStatus, pgwire.CloseComplete,
 		pgwire.CommandComplete, pgwire.ErrorResponse:
 		return t.outstanding() == 0
-	case pgwire.CopyData:
-		return false
 	}
 	return true
 }
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -224,6 +224,8 @@
 	}
 }
 
+func (c *fakeConn) HasNext() bool { return len(c.frames) > 0 }
+
 func (c *fakeConn) Next() (pgwire.Frame, error) {
 	select {
 	case <-c.dead:
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -49,6 +49,7 @@
 type Conn interface {
 	Send(frames []byte) error
 	Next() (pgwire.Frame, error)
+	HasNext() bool // a whole frame has arrived; for the goroutine that calls Next
 	TxStatus() byte
 	Position() position.Position
 	Pending() bool
--- a/internal/owner/relay_test.go
+++ b/internal/owner/relay_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -18,6 +20,8 @@
 
 func (e endless) Next() (pgwire.Frame, error) { return e.row, nil }
 
+func (e endless) HasNext() bool { return true }
+
 type sink struct{ io.ReadWriteCloser }
 
 func (sink) Write(p []byte) (int, error) { return len(p), nil }
@@ -63,3 +67,22 @@
 	is.Equal(x.committed(position.Position{}), position.Position{})
 	is.Equal(quote("k'1\x00"), "'k''1'")
 }
+
+// Guards against rows that wait in the owner until the target has found the following ones.
+func TestRowsDoNotWait(t *testing.T) {
+	is := is.New(t)
+	bubble(t, func(h *harness) {
+		h.edit(func() { h.targets["a"].hook = func(string) string { return "hang" } })
+		c := h.open(write, "SELECT 2")
+		synctest.Wait()
+		from := time.Now()
+		for range 2 {
+			h.edit(func() { h.targets["a"].conns[0].row("x") })
+			f, err := c.r.Next()
+			is.NoErr(err)
+			is.Equal(f.Type(), byte(pgwire.DataRow))
+		}
+		is.Equal(time.Since(from), time.Duration(0))
+		_ = c.Close()
+	})
+}
--- a/internal/pgwire/frame.go
+++ b/internal/pgwire/frame.go
@@ -108,6 +108,20 @@
 // Buffered returns the number of bytes that can be read without blocking, past the last frame.
 func (r *Reader) Buffered() int { return r.r.Buffered() - r.skip }
 
+// HasFrame reports whether Next would return a frame without reading. A frame that is larger than
+// the buffer doesn't count.
+func (r *Reader) HasFrame() bool {
+	n := r.Buffered()
+	if n < HeaderBytes {
+		return false
+	}
+	head, err := r.r.Peek(r.skip + HeaderBytes)
+	if err != nil {
+		return false
+	}
+	return uint64(binary.BigEndian.Uint32(head[r.skip+1:]))+1 <= uint64(n)
+}
+
 func unexpected(err error) error {
 	if err == io.EOF {
 		return io.ErrUnexpectedEOF
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -90,3 +90,18 @@
 		t.Fatalf("the queue holds %d entries for 1 request", n)
 	}
 }
+
+// Guards against a partial frame that counts as available, so that a relay waits for its rest with
+// other frames in hand.
+func TestHasFrame(t *testing.T) {
+	is := is.New(t)
+	one := Append(nil, DataRow, []byte("row"))
+	two := append(bytes.Clone(one), one...)
+	for cut := len(one); cut <= len(two); cut++ {
+		r := NewReader(bytes.NewReader(two[:cut]), MaxFrameBytes)
+		is.True(!r.HasFrame()) // nothing was read yet
+		_, err := r.Next()
+		is.NoErr(err)
+		is.Equal(r.HasFrame(), cut == len(two))
+	}
+}
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -128,6 +128,10 @@
 
 func (c *Conn) pending() bool { return c.open || c.synced != c.ready || c.tracker.Len() > 0 }
 
+// HasNext reports whether Next would return without waiting for the target. Only the goroutine that
+// calls Next may call it.
+func (c *Conn) HasNext() bool { return c.held != nil || c.reader.HasFrame() }
+
 // Discard prevents any later use of the connection: Put closes it.
 func (c *Conn) Discard() { c.discarded.Store(true) }
 
