--- a/internal/owner/down.go
+++ b/internal/owner/down.go
@@ -233,7 +233,7 @@
 	_ = t.s.m.logger.Log("msg", "transaction failed", "service", t.s.name, "team", t.job.team,
 		"session", t.job.req.Session, "seq", t.job.req.Seq, "code", e.Code, "verdict", e.Verdict, "err", err)
 	countRefusal(e.Code)
-	if t.d.relayed {
+	if sent { // a next read must reflect what was relayed, and a commit whose outcome is unknown
 		req := t.job.req
 		t.d.out = pgwire.AppendStatus(t.d.out, pgwire.StatusToken, position.SeenToken(t.s.name, req.Floor, t.addSeen(req.Seen)))
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -47,6 +47,8 @@
 		h.edit(func() { h.targets["b"].lag, h.targets["c"].down = true, true })
 		from := time.Now()
 		r := h.run(write, "INSERT")
+		is.True(strings.HasPrefix(r.token, "s:0/0@a/1/")) // the next read reflects the outcome
+		r.token = ""
 		is.Equal(r, result{code: "08007", detail: "verdict: MayHaveRun", status: 'I'})
 		is.True(time.Since(from) >= DefaultQuorumWait)
 	})
