Drive the handover of an owned service by its chart

The chart owner_handover described states that the code didn't have, and two booleans of the service held the real ones. The chart now has the states owned, finishing and ended, and the service follows it.

--- /dev/null
+++ b/internal/owner/handover.go
@@ -0,0 +1,47 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/citronrun/citronrun/internal/statechart"
+)
+
+// Events, states and actions of the chart owner_handover.
+const (
+	eventGranted   = "granted"
+	eventRevoked   = "revoked"
+	eventWorkEnded = "work_ended"
+
+	stateOwned = "owned"
+
+	actionReturnLease = "return_lease"
+)
+
+var handoverChart = mustLoadChart("owner_handover")
+
+// mustLoadChart loads a chart that is a part of the binary.
+func mustLoadChart(name string) *statechart.Chart {
+	c, err := statechart.Load(name)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// fire applies an event of the handover. ok is false when the epoch has ended. The caller holds mu.
+func (s *service) fire(event string) (actions []string, ok bool) {
+	actions, err := s.handover.Fire(event)
+	return actions, err == nil
+}
+
+// endIfDone ends a revoked epoch without running work, or whose lease has expired. It reports whether
+// the lease has to be returned, and else a channel that is closed at the next change.
+func (s *service) endIfDone(leaseValid bool) (ended bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active > 0 && leaseValid {
+		return false, s.changed
+	}
+	actions, _ := s.fire(eventWorkEnded)
+	return slices.Contains(actions, actionReturnLease), s.changed
+}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/pgwire"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/routing"
@@ -294,6 +295,29 @@
 	})
 }
 
+// Guards against an epoch that stays revoked although its grant came back, or that lives on after its
+// lease was returned.
+func TestGrantAfterRevoke(t *testing.T) {
+	is := is.New(t)
+	bubble(t, func(h *harness) {
+		c := h.open(write, "BEGIN")
+		is.Equal(c.read().status, byte('T'))
+		s := h.m.lookup("s")
+		h.m.OnRevoke("s", 1)
+		is.Equal(s.state().Handover, "finishing")
+		h.m.OnGrant(h.grant(1, "a"))
+		is.Equal(s.state().Handover, "owned")
+		is.Equal(h.run(write, "INSERT").status, byte('I'))
+		h.m.OnRevoke("s", 1)
+		is.Equal(c.query("COMMIT").status, byte('I'))
+		_ = c.Close()
+		h.settle()
+		is.Equal(h.returned.Load(), int32(1))
+		s.apply(h.grant(1, "a"), catalog.Service{Databases: 3})
+		is.Equal(s.state().Handover, "ended")
+	})
+}
+
 // Guards against new work at a target that leaves.
 func TestLeavingTarget(t *testing.T) {
 	is := is.New(t)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -11,6 +11,7 @@
 	"github.com/citronrun/citronrun/internal/admission"
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/routing"
+	"github.com/citronrun/citronrun/internal/statechart"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -40,8 +41,7 @@
 	txs      map[txKey]*tx
 	active   int // transactions being placed or running
 	writers  int // transactions that hold or wait for the primary's connections
-	revoked  bool
-	returned bool
+	handover *statechart.Machine
 	selector map[string]labels.Selector // parsed selectors of rules
 	gen      context.Context            // ends when the primary changes or an election starts
 	genEnd   context.CancelFunc
@@ -66,6 +66,7 @@
 		started: m.cfg.Clock.Now(),
 		txs:     map[txKey]*tx{},
 
+		handover: handoverChart.New(),
 		selector: map[string]labels.Selector{},
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
@@ -81,10 +82,12 @@
 func (s *service) apply(g wire.LeaseGrant, conf catalog.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.returned || s.ctx.Err() != nil || g.Term < s.group.Term || s.election != nil && g.Term < s.election.term {
+	if s.ctx.Err() != nil || g.Term < s.group.Term || s.election != nil && g.Term < s.election.term {
+		return
+	}
+	if _, ok := s.fire(eventGranted); !ok {
 		return
 	}
-	s.revoked = false
 	s.group.Databases = conf.Databases
 	s.setTargets(g.Targets, max(conf.Slots, 1), max(conf.Connections, 1))
 	if g.Elect {
@@ -216,7 +219,7 @@
 func (s *service) revoke() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revoked = true
+	_, _ = s.fire(eventRevoked) // an epoch that has ended stays so
 	s.notify()
 }
 
@@ -224,14 +227,8 @@
 func (s *service) run() {
 	for {
 		valid := s.leaseValid()
-		s.mu.Lock()
-		revoked, active, changed := s.revoked, s.active, s.changed
-		over := revoked && (active == 0 || !valid)
-		if over {
-			s.returned = true
-		}
-		s.mu.Unlock()
-		if over {
+		ended, changed := s.endIfDone(valid)
+		if ended {
 			s.stop()
 			s.m.forget(s)
 			s.cfg.ReturnLease(s.name, s.epoch)
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -14,7 +14,7 @@
 	Primary  string              `json:"primary"`
 	Election string              `json:"election,omitempty"`
 	Lease    bool                `json:"lease_valid"`
-	Revoked  bool                `json:"revoked"`
+	Handover string              `json:"handover"`
 	Active   int                 `json:"active"`
 	Writers  int                 `json:"writers"`
 	Waiting  int                 `json:"waiting_for_status"`
@@ -31,7 +31,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out.Term, out.AckTerm, out.Primary = s.group.Term, s.ackTerm, s.primary
-	out.Revoked, out.Active, out.Writers, out.Waiting = s.revoked, s.active, s.writers, s.waiting
+	out.Handover, out.Active, out.Writers, out.Waiting = s.handover.State(), s.active, s.writers, s.waiting
 	if s.election != nil {
 		out.Election = s.election.phase
 	}
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -128,7 +128,7 @@
 	valid := s.leaseValid()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.revoked || s.ctx.Err() != nil || !valid {
+	if s.handover.State() != stateOwned || s.ctx.Err() != nil || !valid {
 		return unavailable("service %q is not owned by this host", s.name)
 	}
 	s.active++
