--- a/internal/owner/down.go
+++ b/internal/owner/down.go
@@ -120,7 +120,8 @@
 	return t.syncs
 }
 
-// mustFlush reports whether collected responses go out now. Rows are collected up to a size. Frames
+// mustFlush reports whether collected responses go out now. Rows are collected up to a
+// size and as long as more have arrived. Frames
 // that precede the first row of a read wait for it, so that the read can still run at the primary,
 // unless the caller may wait for them before its Sync.
 func (t *tx) mustFlush(typ byte) bool {
@@ -128,14 +129,12 @@
 		return true
 	}
 	switch typ {
-	case pgwire.DataRow:
-		return false
+	case pgwire.DataRow, pgwire.CopyData:
+		return !t.p.conn.HasNext() // rows must not wait while the target looks for more
 	case pgwire.ParseComplete, pgwire.BindComplete, pgwire.RowDescription, pgwire.ParameterDescription,
 		pgwire.NoData, pgwire.NoticeResponse, pgwire.ParameterStatus, pgwire.CloseComplete,
 		pgwire.CommandComplete, pgwire.ErrorResponse:
 		return t.outstanding() == 0
-	case pgwire.CopyData:
-		return false
 	}
 	return true
 }
@@ -220,6 +219,7 @@
 	}
 	sent := t.sent
 	gone := t.cause == errCallerGone
+	block := t.p.conn != nil && t.p.conn.TxStatus() != pgwire.TxIdle
 	t.kill()
 	t.cond.Broadcast()
 	t.mu.Unlock()
@@ -233,12 +233,16 @@
 	_ = t.s.m.logger.Log("msg", "transaction failed", "service", t.s.name, "team", t.job.team,
 		"session", t.job.req.Session, "seq", t.job.req.Seq, "code", e.Code, "verdict", e.Verdict, "err", err)
 	countRefusal(e.Code)
-	if t.d.relayed {
+	if sent { // a next read must reflect what was relayed, and a commit whose outcome is unknown
 		req := t.job.req
 		t.d.out = pgwire.AppendStatus(t.d.out, pgwire.StatusToken, position.SeenToken(t.s.name, req.Floor, t.addSeen(req.Seen)))
 	}
 	t.d.out = pgwire.AppendError(t.d.out, e)
-	t.d.out = pgwire.AppendReady(t.d.out, pgwire.TxIdle)
+	status := byte(pgwire.TxIdle)
+	if block && e.Verdict == verdict.NotRun {
+		status = pgwire.TxFailed // the caller may send more statements of the block, which must not run alone
+	}
+	t.d.out = pgwire.AppendReady(t.d.out, status)
 	t.flush()
 }
 
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/pgwire"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/routing"
@@ -47,6 +48,8 @@
 		h.edit(func() { h.targets["b"].lag, h.targets["c"].down = true, true })
 		from := time.Now()
 		r := h.run(write, "INSERT")
+		is.True(strings.HasPrefix(r.token, "s:0/0@a/1/")) // the next read reflects the outcome
+		r.token = ""
 		is.Equal(r, result{code: "08007", detail: "verdict: MayHaveRun", status: 'I'})
 		is.True(time.Since(from) >= DefaultQuorumWait)
 	})
@@ -292,6 +295,29 @@
 	})
 }
 
+// Guards against an epoch that stays revoked although its grant came back, or that lives on after its
+// lease was returned.
+func TestGrantAfterRevoke(t *testing.T) {
+	is := is.New(t)
+	bubble(t, func(h *harness) {
+		c := h.open(write, "BEGIN")
+		is.Equal(c.read().status, byte('T'))
+		s := h.m.lookup("s")
+		h.m.OnRevoke("s", 1)
+		is.Equal(s.state().Handover, "finishing")
+		h.m.OnGrant(h.grant(1, "a"))
+		is.Equal(s.state().Handover, "owned")
+		is.Equal(h.run(write, "INSERT").status, byte('I'))
+		h.m.OnRevoke("s", 1)
+		is.Equal(c.query("COMMIT").status, byte('I'))
+		_ = c.Close()
+		h.settle()
+		is.Equal(h.returned.Load(), int32(1))
+		s.apply(h.grant(1, "a"), catalog.Service{Databases: 3})
+		is.Equal(s.state().Handover, "ended")
+	})
+}
+
 // Guards against new work at a target that leaves.
 func TestLeavingTarget(t *testing.T) {
 	is := is.New(t)
@@ -306,3 +332,31 @@
 		is.Equal(len(h.targets["c"].statement), 20)
 	})
 }
+
+// Guards against a statement of a block that waits for a slot without a bound, an unclear outcome for
+// it, and later statements of the block that run alone.
+func TestSlotWithinBlockIsBounded(t *testing.T) {
+	is := is.New(t)
+	bubble(t, func(h *harness) {
+		c := h.open(write, "BEGIN")
+		is.Equal(c.read().status, byte('T'))
+		h.edit(func() { h.targets["a"].hook = func(string) string { return "hang" } })
+		var others []*caller
+		for range 2 { // all slots
+			others = append(others, h.open(write, "INSERT"))
+		}
+		synctest.Wait()
+		from := time.Now()
+		r := c.query("INSERT")
+		is.Equal(r.code, "53300")
+		is.Equal(r.detail, "verdict: NotRun")
+		is.Equal(r.status, byte('E'))
+		is.Equal(time.Since(from), write.Timeout)
+		is.Equal(len(h.targets["a"].statement), 3) // nothing was sent
+		_, err := c.r.Next()
+		is.True(err != nil) // the block has ended
+		for _, o := range append(others, c) {
+			_ = o.Close()
+		}
+	})
+}
