Serve local transactions in the goroutines of the entry host

Cause: a statement at the host that owns its service passed five hand-offs between goroutines, two in-memory pipes and a CBOR exchange. Change: Manager.Begin places a local transaction and sends its first frames in the goroutine of the caller. Reading the returned stream reads from the target, so that confirmation and lease check run directly before the response is passed on. Requests that follow in a block go through a pipe whose reader starts with the first of them. Keyed requests still go through Serve. Request readers are reused. All tests of the owner run both through Serve and through Begin.

--- a/internal/daemon/transactor.go
+++ b/internal/daemon/transactor.go
@@ -19,6 +19,7 @@
 
 // localOwner serves transactions of services that this host owns.
 type localOwner interface {
+	Begin(ctx context.Context, req wire.TxRequest, first []byte) (io.ReadWriteCloser, error)
 	Serve(ctx context.Context, req wire.TxRequest, stream io.ReadWriteCloser)
 	ServeCancel(c wire.Cancel)
 }
@@ -40,13 +41,17 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no owner at present", req.Service)
 	}
 	req.Epoch = route.Epoch
-	if route.Owner == t.host {
-		return t.beginLocal(ctx, req, first)
+	if route.Owner != t.host {
+		return t.beginRemote(ctx, route.Addr, req, first)
+	}
+	if req.RequestKey == "" || req.ReadOnly {
+		return t.owner.Begin(ctx, req, first)
 	}
-	return t.beginRemote(ctx, route.Addr, req, first)
+	return t.beginKeyed(ctx, req, first)
 }
 
-func (t *transactor) beginLocal(ctx context.Context, req wire.TxRequest, first []byte) (io.ReadWriteCloser, error) {
+// beginKeyed serves a request with a key, which the owner runs in a transaction of its own.
+func (t *transactor) beginKeyed(ctx context.Context, req wire.TxRequest, first []byte) (io.ReadWriteCloser, error) {
 	ours, theirs := newPipe()
 	if _, err := ours.Write(first); err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "open local stream: %w", err)
--- a/internal/owner/down.go
+++ b/internal/owner/down.go
@@ -24,27 +24,20 @@
 
 // down moves response frames to the caller until the transaction ends.
 func (t *tx) down() {
-	for {
-		f, err := t.p.conn.Next()
-		if err != nil {
-			if t.over() {
-				return
-			}
-			if !t.rerun(err) {
-				return
-			}
-			continue
-		}
-		if t.refusedWrite(f) {
-			if !t.rerun(errReplicaRefused) {
-				return
-			}
-			continue
-		}
-		if !t.response(f) {
-			return
-		}
+	for t.step() {
+	}
+}
+
+// step handles the next response. It returns false after the last one.
+func (t *tx) step() bool {
+	f, err := t.p.conn.Next()
+	if err != nil {
+		return !t.over() && t.rerun(err)
+	}
+	if t.refusedWrite(f) {
+		return t.rerun(errReplicaRefused)
 	}
+	return t.response(f)
 }
 
 // refusedWrite reports whether a replica refused a write and nothing was relayed, so that the request
@@ -143,7 +136,7 @@
 		return true
 	}
 	t.d.relayed = true
-	_, err := t.stream.Write(t.d.out)
+	err := t.out.respond(t.d.out)
 	t.d.out = t.d.out[:0]
 	if err != nil {
 		t.callerGone()
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/citronrun/citronrun/internal/pgwire"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/routing"
+	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -27,6 +29,7 @@
 	returned atomic.Int32
 	seq      uint64
 	rule     catalog.Rule
+	local    bool // transactions go through Begin instead of Serve
 }
 
 func (h *harness) Service(string) (catalog.Service, bool) {
@@ -35,12 +38,19 @@
 
 func (h *harness) Rule(string, string) catalog.Rule { return h.rule }
 
-// bubble runs f with a group of three targets, a as primary of term 1.
+// bubble runs f with a group of three targets, a as primary of term 1, once for callers of other
+// hosts and once for those of the owner's own entry host.
 func bubble(t *testing.T, f func(h *harness)) {
 	t.Helper()
+	for name, local := range map[string]bool{"serve": false, "begin": true} {
+		t.Run(name, func(t *testing.T) { bubbleOf(t, local, f) })
+	}
+}
+
+func bubbleOf(t *testing.T, local bool, f func(h *harness)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := &fakeGroup{targets: map[string]*fakeTarget{}}
-		h := &harness{fakeGroup: g, t: t}
+		h := &harness{fakeGroup: g, t: t, local: local}
 		for _, name := range []string{"a", "b", "c"} {
 			p := position.Position{Term: 1, Offset: 10}
 			g.targets[name] = &fakeTarget{g: g, name: name, role: routing.RoleReplica, term: 1, received: p, applied: p, keys: map[string]string{}}
@@ -87,7 +97,7 @@
 }
 
 type caller struct {
-	net.Conn
+	io.ReadWriteCloser
 	r     *pgwire.Reader
 	reply wire.TxReply
 	req   wire.TxRequest
@@ -107,9 +117,12 @@
 	h.t.Helper()
 	h.seq++
 	req.Service, req.Team, req.Session, req.Seq = "s", "t", "x", h.seq
+	if h.local && (req.RequestKey == "" || req.ReadOnly) {
+		return h.begin(req, encode(&pgproto3.Query{String: sql}))
+	}
 	near, far := net.Pipe()
 	go h.m.Serve(context.Background(), req, far)
-	c := &caller{Conn: near, r: pgwire.NewReader(near, pgwire.MaxFrameBytes), req: req}
+	c := &caller{ReadWriteCloser: near, r: pgwire.NewReader(near, pgwire.MaxFrameBytes), req: req}
 	go c.send(sql)
 	if err := wire.Read(near, &c.reply, wire.MaxMessageBytes); err != nil {
 		h.t.Fatal(err)
@@ -117,6 +130,17 @@
 	return c
 }
 
+// begin starts a transaction as the entry host of the same process does.
+func (h *harness) begin(req wire.TxRequest, first []byte) *caller {
+	stream, err := h.m.Begin(context.Background(), req, first)
+	if err != nil {
+		closed, _ := net.Pipe()
+		return &caller{ReadWriteCloser: closed, reply: wire.TxReply{Code: verdict.As(err).Code}, req: req}
+	}
+	r := pgwire.NewReader(stream, pgwire.MaxFrameBytes)
+	return &caller{ReadWriteCloser: stream, r: r, reply: wire.TxReply{Admitted: true}, req: req}
+}
+
 func (c *caller) send(sql string) { _, _ = c.Write(encode(&pgproto3.Query{String: sql})) }
 
 func (c *caller) read() (r result) {
--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -41,9 +41,9 @@
 // serveKeyed runs a statement with a request key: in one transaction with a row that holds its
 // outcome, so that a resend finds the row and runs nothing. Only simple queries are supported.
 func (s *service) serveKeyed(ctx context.Context, j job, timeout time.Duration, stream io.ReadWriteCloser) {
-	t := newTx(ctx, s, j, stream)
+	t := newTx(ctx, s, j, streamResponder{stream})
 	defer t.end()
-	f, err := t.reader.Next()
+	f, err := pgwire.NewReader(stream, pgwire.MaxFrameBytes).Next()
 	if err != nil {
 		return // the caller is gone and nothing was sent
 	}
--- /dev/null
+++ b/internal/owner/local_test.go
@@ -0,0 +1,36 @@
+package owner
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// Guards against first frames that are lost when they don't fit into socket buffers.
+func TestLargeFirstRequest(t *testing.T) {
+	is := is.New(t)
+	bubble(t, func(h *harness) {
+		r := h.run(wire.TxRequest{ReadOnly: true}, "SELECT 3"+strings.Repeat(" ", 2*directBytes))
+		is.Equal(r.rows, 3)
+		is.Equal(r.status, byte('I'))
+	})
+}
+
+// Guards against slots and connections that stay in use when the entry host closes a local stream
+// that nobody reads, at any time.
+func TestUnreadStreamIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	bubble(t, func(h *harness) {
+		for range 20 { // more than the connections of a target
+			c := h.open(wire.TxRequest{}, "BEGIN")
+			is.True(c.reply.Admitted)
+			is.NoErr(c.Close())
+			synctest.Wait()
+		}
+		is.Equal(h.run(write, "INSERT").status, byte('I'))
+	})
+}
--- a/internal/owner/relay_test.go
+++ b/internal/owner/relay_test.go
@@ -35,7 +35,7 @@
 }
 
 func relayOf(c Conn) *tx {
-	x := &tx{stream: sink{}, p: &placed{conn: c, primary: true}}
+	x := &tx{out: streamResponder{sink{}}, p: &placed{conn: c, primary: true}}
 	x.syncs = 1
 	return x
 }
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -45,12 +45,11 @@
 // tx relays one transaction between a caller's stream and a target connection. One goroutine moves
 // requests up to the target (up.go), another one moves responses down (down.go).
 type tx struct {
-	s      *service
-	job    job
-	stream io.ReadWriteCloser
-	reader *pgwire.Reader
-	ctx    context.Context
-	end    context.CancelFunc
+	s   *service
+	job job
+	out responder
+	ctx context.Context
+	end context.CancelFunc
 
 	mu        sync.Mutex // guards the fields below; taken after service.mu, never before it
 	cond      *sync.Cond
@@ -70,8 +69,21 @@
 	d downState
 }
 
-func newTx(ctx context.Context, s *service, j job, stream io.ReadWriteCloser) *tx {
-	t := &tx{s: s, job: j, stream: stream, reader: pgwire.NewReader(stream, pgwire.MaxFrameBytes)}
+// responder takes over the responses of a transaction.
+type responder interface {
+	respond(frames []byte) error
+}
+
+// streamResponder writes responses to a stream.
+type streamResponder struct{ io.Writer }
+
+func (s streamResponder) respond(frames []byte) error {
+	_, err := s.Write(frames)
+	return err
+}
+
+func newTx(ctx context.Context, s *service, j job, out responder) *tx {
+	t := &tx{s: s, job: j, out: out}
 	t.cond = sync.NewCond(&t.mu)
 	t.ctx, t.end = context.WithCancel(ctx)
 	return t
@@ -94,7 +106,7 @@
 		refuse(stream, err)
 		return
 	}
-	t := newTx(ctx, s, j, stream)
+	t := newTx(ctx, s, j, streamResponder{stream})
 	t.attach(p)
 	defer t.finish()
 	defer context.AfterFunc(ctx, func() { t.abort(errCallerGone) })()
@@ -102,7 +114,7 @@
 		return
 	}
 	count(p, req.ReadOnly)
-	go t.up()
+	go t.up(stream)
 	t.down()
 }
 
--- a/internal/owner/up.go
+++ b/internal/owner/up.go
@@ -3,21 +3,28 @@
 import (
 	"context"
 	"encoding/binary"
+	"io"
 
 	"github.com/citronrun/citronrun/internal/pgwire"
 )
 
-// up moves request frames to the target until the stream or the transaction ends.
-func (t *tx) up() {
+// up moves request frames to the target until the source or the transaction ends.
+func (t *tx) up(source io.Reader) {
+	reader := requestReaders.Get().(*pgwire.Reader)
+	reader.Reset(source)
+	defer func() {
+		reader.Reset(nil)
+		requestReaders.Put(reader)
+	}()
 	var buf []byte
 	for {
-		f, err := t.reader.Next()
+		f, err := reader.Next()
 		if err != nil || f.Type() == pgwire.Terminate {
 			t.callerGone()
 			return
 		}
 		buf = append(buf, f...)
-		if t.reader.Buffered() > 0 && len(buf) < sendBytes {
+		if reader.Buffered() > 0 && len(buf) < sendBytes {
 			continue
 		}
 		if !t.forward(buf) {
