Send the request and its first frames in one QUIC write; set placement timers lazily

Cause: a remote transaction used two stream writes, which can become two packets, and each placement set a timer, although most are placed without a wait. Change: both parts go out in one write; the request counts as NotRun only when no byte of its frames was taken over. The timeout of a placement starts its timer with the first wait.

--- a/internal/daemon/transactor.go
+++ b/internal/daemon/transactor.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -66,12 +67,18 @@
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "owner of service %q is unreachable: %w", req.Service, err)
 	}
-	if err := wire.Write(s, req); err != nil {
+	var msg bytes.Buffer
+	if err := wire.Write(&msg, req); err != nil {
 		s.Reset()
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "send to the owner of service %q: %w", req.Service, err)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeProtocol, "encode the request: %w", err)
 	}
-	if _, err := s.Write(first); err != nil {
+	head := msg.Len()
+	msg.Write(first) // in one write, so that all of it travels in one packet if it fits
+	if n, err := s.Write(msg.Bytes()); err != nil {
 		s.Reset()
+		if n <= head {
+			return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "send to the owner of service %q: %w", req.Service, err)
+		}
 		return nil, unknown(err) // the frames may have arrived, and the owner may have acted on them
 	}
 	return awaitReply(ctx, &remoteStream{Stream: s}, s.Reset)
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -54,7 +54,7 @@
 	end context.CancelFunc
 
 	mu        sync.Mutex // guards the fields below; taken after service.mu, never before it
-	cond      *sync.Cond
+	cond      sync.Cond
 	p         *placed
 	slot      bool   // the ticket holds a slot
 	sent      bool   // something was sent to a target
@@ -88,7 +88,7 @@
 func newTx(ctx context.Context, s *service, j job, out responder) *tx {
 	t := &tx{s: s, job: j, out: out}
 	t.d.out = make([]byte, 0, firstOutBytes)
-	t.cond = sync.NewCond(&t.mu)
+	t.cond.L = &t.mu
 	t.ctx, t.end = context.WithCancel(ctx)
 	return t
 }
@@ -123,9 +123,9 @@
 }
 
 func (s *service) placeInTime(ctx context.Context, j job, timeout time.Duration) (*placed, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return s.place(ctx, j)
+	bounded := withLazyTimeout(ctx, timeout)
+	defer bounded.stop()
+	return s.place(bounded, j)
 }
 
 func count(p *placed, readOnly bool) {
