--- a/internal/daemon/transactor.go
+++ b/internal/daemon/transactor.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +20,7 @@
 
 // localOwner serves transactions of services that this host owns.
 type localOwner interface {
+	Begin(ctx context.Context, req wire.TxRequest, first []byte) (io.ReadWriteCloser, error)
 	Serve(ctx context.Context, req wire.TxRequest, stream io.ReadWriteCloser)
 	ServeCancel(c wire.Cancel)
 }
@@ -40,13 +42,17 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no owner at present", req.Service)
 	}
 	req.Epoch = route.Epoch
-	if route.Owner == t.host {
-		return t.beginLocal(ctx, req, first)
+	if route.Owner != t.host {
+		return t.beginRemote(ctx, route.Addr, req, first)
+	}
+	if req.RequestKey == "" || req.ReadOnly {
+		return t.owner.Begin(ctx, req, first)
 	}
-	return t.beginRemote(ctx, route.Addr, req, first)
+	return t.beginKeyed(ctx, req, first)
 }
 
-func (t *transactor) beginLocal(ctx context.Context, req wire.TxRequest, first []byte) (io.ReadWriteCloser, error) {
+// beginKeyed serves a request with a key, which the owner runs in a transaction of its own.
+func (t *transactor) beginKeyed(ctx context.Context, req wire.TxRequest, first []byte) (io.ReadWriteCloser, error) {
 	ours, theirs := newPipe()
 	if _, err := ours.Write(first); err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "open local stream: %w", err)
@@ -61,12 +67,18 @@
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "owner of service %q is unreachable: %w", req.Service, err)
 	}
-	if err := wire.Write(s, req); err != nil {
+	var msg bytes.Buffer
+	if err := wire.Write(&msg, req); err != nil {
 		s.Reset()
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "send to the owner of service %q: %w", req.Service, err)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeProtocol, "encode the request: %w", err)
 	}
-	if _, err := s.Write(first); err != nil {
+	head := msg.Len()
+	msg.Write(first) // in one write, so that all of it travels in one packet if it fits
+	if n, err := s.Write(msg.Bytes()); err != nil {
 		s.Reset()
+		if n <= head {
+			return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "send to the owner of service %q: %w", req.Service, err)
+		}
 		return nil, unknown(err) // the frames may have arrived, and the owner may have acted on them
 	}
 	return awaitReply(ctx, &remoteStream{Stream: s}, s.Reset)
--- a/internal/owner/keyed.go
+++ b/internal/owner/keyed.go
@@ -40,13 +40,13 @@
 // The row is inserted first: of two runs of the same request, the second one waits at the row until
 // the first has ended. A resend finds the row and runs nothing; it gets the command tag without rows.
 func (s *service) serveKeyed(ctx context.Context, j job, timeout time.Duration, stream io.ReadWriteCloser) {
-	t := newTx(ctx, s, j, stream)
+	t := newTx(ctx, s, j, streamResponder{stream})
 	defer t.end()
 	if j.req.InBlock {
 		refuse(stream, notSupported("a request key can't be used for a transaction block"))
 		return
 	}
-	batch, err := readBatch(t.reader)
+	batch, err := readBatch(pgwire.NewReader(stream, pgwire.MaxFrameBytes))
 	if err != nil {
 		refuse(stream, err) // reaches nobody if the stream has ended
 		return
--- a/internal/owner/tx.go
+++ b/internal/owner/tx.go
@@ -17,6 +17,8 @@
 	sendBytes = 32 << 10
 	// relayBytes is the size at which collected responses are written to the caller.
 	relayBytes = 16 << 10
+	// firstOutBytes holds the responses of a statement with few rows.
+	firstOutBytes = 512
 	// heldBytes bounds the responses held back until a commit is confirmed.
 	heldBytes = 256 << 10
 	// recordBytes bounds the request frames kept for a second run at the primary.
@@ -45,15 +47,14 @@
 // tx relays one transaction between a caller's stream and a target connection. One goroutine moves
 // requests up to the target (up.go), another one moves responses down (down.go).
 type tx struct {
-	s      *service
-	job    job
-	stream io.ReadWriteCloser
-	reader *pgwire.Reader
-	ctx    context.Context
-	end    context.CancelFunc
+	s   *service
+	job job
+	out responder
+	ctx context.Context
+	end context.CancelFunc
 
 	mu        sync.Mutex // guards the fields below; taken after service.mu, never before it
-	cond      *sync.Cond
+	cond      sync.Cond
 	p         *placed
 	slot      bool   // the ticket holds a slot
 	sent      bool   // something was sent to a target
@@ -70,9 +71,24 @@
 	d downState
 }
 
-func newTx(ctx context.Context, s *service, j job, stream io.ReadWriteCloser) *tx {
-	t := &tx{s: s, job: j, stream: stream, reader: pgwire.NewReader(stream, pgwire.MaxFrameBytes)}
-	t.cond = sync.NewCond(&t.mu)
+// responder takes over the responses of a transaction. They are valid until the next response of the
+// target is handled.
+type responder interface {
+	respond(frames []byte) error
+}
+
+// streamResponder writes responses to a stream.
+type streamResponder struct{ io.Writer }
+
+func (s streamResponder) respond(frames []byte) error {
+	_, err := s.Write(frames)
+	return err
+}
+
+func newTx(ctx context.Context, s *service, j job, out responder) *tx {
+	t := &tx{s: s, job: j, out: out}
+	t.d.out = make([]byte, 0, firstOutBytes)
+	t.cond.L = &t.mu
 	t.ctx, t.end = context.WithCancel(ctx)
 	return t
 }
@@ -94,7 +110,7 @@
 		refuse(stream, err)
 		return
 	}
-	t := newTx(ctx, s, j, stream)
+	t := newTx(ctx, s, j, streamResponder{stream})
 	t.attach(p)
 	defer t.finish()
 	defer context.AfterFunc(ctx, func() { t.abort(errCallerGone) })()
@@ -102,14 +118,14 @@
 		return
 	}
 	count(p, req.ReadOnly)
-	go t.up()
+	go t.up(stream)
 	t.down()
 }
 
 func (s *service) placeInTime(ctx context.Context, j job, timeout time.Duration) (*placed, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return s.place(ctx, j)
+	bounded := withLazyTimeout(ctx, timeout)
+	defer bounded.stop()
+	return s.place(bounded, j)
 }
 
 func count(p *placed, readOnly bool) {
@@ -139,7 +155,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.active--
-	if s.revoked {
+	if s.handover.State() != stateOwned {
 		s.notify() // run waits for the last one
 	}
 }
