Add the load and measurement tool

Cause: guarantees and measures need runs of real processes under load. Change: bench starts citrond processes and stand-in targets behind relays that simulate the links between places, runs callers through pgx, records each request and prints one table or JSON object.

--- /dev/null
+++ b/bench/internal/load/load.go
@@ -0,0 +1,237 @@
+// Package load runs sessions of callers against a cluster and records what they did and saw.
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/citronrun/citronrun/bench/internal/history"
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+const (
+	rowsPerSession   = 2
+	connectTimeout   = 3 * time.Second
+	statementTimeout = 10 * time.Second
+	prepareTimeout   = 10 * time.Second
+	maxBacklog       = time.Second            // arrivals that are later than this are skipped
+	refusalPause     = 20 * time.Millisecond  // after a request that was not run
+	connectPause     = 100 * time.Millisecond // after a failed connect
+	resends          = 20                     // of a booking with a request key
+)
+
+// Mix holds the shares of the kinds of operations; the rest are updates.
+type Mix struct {
+	Reads, Bookings, Transactions float64
+}
+
+// Team describes the load of one team.
+type Team struct {
+	Name     string
+	Sessions int
+	Rate     float64 // offered statements/s of all sessions together
+	Mix      Mix
+}
+
+// Config configures a run.
+type Config struct {
+	Teams    []Team
+	Services []string
+	Catalog  *catalog.Snapshot
+	Seed     uint64
+	Roaming  bool // each session reconnects after every write
+	// Connect opens a connection through a host that the balancer chooses. An empty token gives none.
+	Connect func(ctx context.Context, rng *rand.Rand, team, service, token string) (*pgx.Conn, error)
+	// Gone tells that a team's key was withdrawn, so that its sessions may end.
+	Gone func(team string) bool
+}
+
+// Run is a running load.
+type Run struct {
+	Recorder *history.Recorder
+
+	cfg      Config
+	sessions []*session
+	existing []history.Event
+
+	mu      sync.Mutex
+	offered map[string]float64 // statements by team
+	factor  map[string]float64 // of the teams' rates
+	odd     map[string]int     // answers that no guarantee allows
+}
+
+// New prepares the sessions and their rows.
+func New(cfg Config) *Run {
+	r := &Run{cfg: cfg, offered: map[string]float64{}, factor: map[string]float64{}, odd: map[string]int{}}
+	for _, t := range cfg.Teams {
+		for i := range t.Sessions {
+			n := len(r.sessions)
+			service := cfg.Services[n%len(cfg.Services)]
+			s := &session{
+				run: r, team: t, service: service,
+				name:  fmt.Sprintf("%s-%d", t.Name, i),
+				rng:   rand.New(rand.NewPCG(cfg.Seed, uint64(n)+100)),
+				token: n%2 == 0,
+				rule:  cfg.Catalog.Rule(t.Name, service),
+			}
+			for j := range rowsPerSession {
+				s.rows = append(s.rows, row{id: fmt.Sprintf("%s-row%d", s.name, j), version: 1})
+			}
+			r.sessions = append(r.sessions, s)
+		}
+	}
+	return r
+}
+
+// Prepare creates the table and the rows of all sessions.
+func (r *Run) Prepare(ctx context.Context) error {
+	for _, service := range r.cfg.Services {
+		if err := r.prepare(ctx, service); err != nil {
+			return fmt.Errorf("prepare %s: %w", service, err)
+		}
+	}
+	return nil
+}
+
+func (r *Run) prepare(ctx context.Context, service string) error {
+	rng := rand.New(rand.NewPCG(r.cfg.Seed, 99))
+	conn, err := r.cfg.Connect(ctx, rng, r.cfg.Teams[0].Name, service, "")
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	if err := exec(ctx, conn, createTable); err != nil {
+		return err
+	}
+	insert := "INSERT INTO bench_row (id, booking, version, tag) VALUES "
+	sep := ""
+	for _, s := range r.sessions {
+		if s.service != service {
+			continue
+		}
+		for _, w := range s.rows {
+			insert += fmt.Sprintf("%s('%s', '', 1, '')", sep, w.id)
+			sep = ", "
+			r.existing = append(r.existing, history.Event{
+				Session: "setup", Team: s.team.Name, Service: service, Op: history.Insert,
+				Row: w.id, Version: 1, Outcome: history.OK, Statements: -1,
+			})
+		}
+	}
+	return exec(ctx, conn, insert)
+}
+
+// exec runs a statement, and again while it is refused: a new leader has no tokens yet.
+func exec(ctx context.Context, conn *pgx.Conn, sql string) error {
+	deadline := time.Now().Add(prepareTimeout)
+	for {
+		_, err := conn.Exec(ctx, sql)
+		if outcome, _ := outcomeOf(err); outcome != history.NotRun || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(connectPause)
+	}
+}
+
+// Do runs all sessions until ctx ends, then waits for their last requests.
+func (r *Run) Do(ctx context.Context) {
+	r.Recorder = history.NewRecorder()
+	var wg sync.WaitGroup
+	for _, s := range r.sessions {
+		s.others = r.sameService(s)
+		wg.Go(func() { s.loop(ctx) })
+	}
+	wg.Wait()
+}
+
+func (r *Run) sameService(s *session) []string {
+	var ids []string
+	for _, o := range r.sessions {
+		if o.service == s.service && o != s {
+			for _, w := range o.rows {
+				ids = append(ids, w.id)
+			}
+		}
+	}
+	return ids
+}
+
+// Events returns all events, with those of the rows that existed before the run.
+func (r *Run) Events() []history.Event {
+	return append(append([]history.Event(nil), r.existing...), r.Recorder.Events()...)
+}
+
+// Offered returns the statements that each team wanted to run.
+func (r *Run) Offered() map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]float64{}
+	for team, n := range r.offered {
+		out[team] = n
+	}
+	return out
+}
+
+// Odd returns descriptions of answers that no guarantee allows, with their numbers.
+func (r *Run) Odd() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]int{}
+	for text, n := range r.odd {
+		out[text] = n
+	}
+	return out
+}
+
+// SetFactor multiplies the rate of a team.
+func (r *Run) SetFactor(team string, f float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.factor[team] = f
+}
+
+// arrival returns the time to a session's next operation, at random.
+func (r *Run) arrival(s *session) time.Duration {
+	r.mu.Lock()
+	f, ok := r.factor[s.team.Name]
+	r.mu.Unlock()
+	if !ok {
+		f = 1
+	}
+	perSecond := s.team.Rate * f / float64(s.team.Sessions) / s.team.Mix.cost()
+	return time.Duration(s.rng.ExpFloat64() / perSecond * float64(time.Second))
+}
+
+func (r *Run) offer(team string, statements int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.offered[team] += float64(statements)
+}
+
+func (r *Run) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.odd[fmt.Sprintf(format, args...)]++
+}
+
+// cost returns the mean number of statements of an operation.
+func (m Mix) cost() float64 {
+	keyed := m.Bookings * keyedShare
+	return 1 + keyed + m.Transactions*float64(transactionCost-1)
+}
+
+func modeOf(r catalog.Rule) (history.Mode, time.Duration) {
+	switch r.Mode {
+	case wire.ReadCurrent:
+		return history.ModeCurrent, 0
+	case wire.ReadMaxAge:
+		return history.ModeMaxAge, r.MaxAge
+	}
+	return history.ModeSession, 0
+}
--- /dev/null
+++ b/bench/internal/load/operations.go
@@ -0,0 +1,280 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/citronrun/citronrun/bench/internal/history"
+)
+
+const (
+	createTable = "CREATE TABLE IF NOT EXISTS bench_row (id text PRIMARY KEY, booking text, version bigint, tag text)"
+	selectRow   = "SELECT version, tag FROM bench_row WHERE id = $1"
+	updateRow   = "UPDATE bench_row SET version = $1, tag = $2 WHERE id = $3 AND version = $4"
+	insertRow   = "INSERT INTO bench_row (id, booking, version, tag) VALUES ($1, $2, 1, $3)"
+
+	keyedShare      = 0.5 // of bookings
+	ownReads        = 0.5 // of reads
+	transactionCost = 3   // BEGIN and two statements; COMMIT is free
+	keyedCost       = 2   // SET and INSERT
+)
+
+// errNoRow means that an update found no row with the expected version.
+var errNoRow = errors.New("no row has the expected version")
+
+// operation is one unit of a session's work.
+type operation struct {
+	cost  int // statements that count towards the team's rate
+	write bool
+	run   func(context.Context) history.Outcome
+}
+
+// choose draws the next operation.
+func (s *session) choose() operation {
+	x, mix := s.rng.Float64(), s.team.Mix
+	if s.unsure() {
+		return operation{cost: keyedCost, run: s.resync}
+	}
+	switch {
+	case x < mix.Reads:
+		return operation{cost: 1, run: s.read}
+	case x < mix.Reads+mix.Bookings:
+		if s.rng.Float64() < keyedShare {
+			return operation{cost: keyedCost, write: true, run: s.keyedBooking}
+		}
+		return operation{cost: 1, write: true, run: s.booking}
+	case x < mix.Reads+mix.Bookings+mix.Transactions:
+		return operation{cost: transactionCost, write: true, run: s.transaction}
+	}
+	return operation{cost: 1, write: true, run: s.update}
+}
+
+func (s *session) unsure() bool {
+	for _, w := range s.rows {
+		if w.version == history.UnknownVersion {
+			return true
+		}
+	}
+	return false
+}
+
+// tag returns a value that is unique in the run.
+func (s *session) tag() string {
+	s.next++
+	return fmt.Sprintf("%s.%d", s.name, s.next)
+}
+
+// read reads one of the session's own rows or one of another session in the team's read mode.
+func (s *session) read(ctx context.Context) history.Outcome {
+	e := s.event(history.Read)
+	e.Mode, e.MaxAge = modeOf(s.rule)
+	e.Row = s.rows[s.rng.IntN(len(s.rows))].id
+	if len(s.others) > 0 && s.rng.Float64() >= ownReads {
+		e.Row = s.others[s.rng.IntN(len(s.others))]
+		e.Session = s.reader()
+	}
+	return s.fetch(ctx, &e)
+}
+
+func (s *session) fetch(ctx context.Context, e *history.Event) history.Outcome {
+	err := s.conn.QueryRow(ctx, selectRow, e.Row).Scan(&e.Version, &e.Tag)
+	if errors.Is(err, pgx.ErrNoRows) {
+		e.Version, err = history.Absent, nil
+	}
+	return s.finish(*e, err)
+}
+
+// resync reads the current version of rows after an update with an unknown outcome.
+func (s *session) resync(ctx context.Context) history.Outcome {
+	if err := s.set(ctx, "SET citron.read = 'current'"); err != nil {
+		return history.NotRun
+	}
+	outcome := history.OK
+	for i := range s.rows {
+		w := &s.rows[i]
+		if w.version != history.UnknownVersion {
+			continue
+		}
+		e := s.event(history.Read)
+		e.Mode, e.Row = history.ModeCurrent, w.id
+		if outcome = s.fetch(ctx, &e); outcome == history.OK {
+			w.version = e.Version
+		}
+	}
+	if s.set(ctx, "RESET citron.read") != nil {
+		s.disconnect() // the next connection has the team's mode
+	}
+	return outcome
+}
+
+// set runs a statement that changes the session only. It costs a statement of the team's rate, which
+// a Denied update of no row records.
+func (s *session) set(ctx context.Context, sql string) error {
+	e := s.event(history.Update)
+	e.Row, e.Tag = s.rows[0].id, s.tag()
+	_, err := s.conn.Exec(ctx, sql)
+	e.Outcome, e.Code = outcomeOf(err)
+	if e.Outcome != history.NotRun {
+		e.Outcome = history.Denied // it has no effect in any case
+	}
+	s.run.Recorder.Add(e)
+	return err
+}
+
+// update writes the next version of an own row.
+func (s *session) update(ctx context.Context) history.Outcome {
+	w := &s.rows[s.rng.IntN(len(s.rows))]
+	e := s.event(history.Update)
+	e.Row, e.Tag = w.id, s.tag()
+	err := s.write(ctx, w, e.Tag)
+	return s.settle(w, e, err)
+}
+
+func (s *session) write(ctx context.Context, w *row, tag string) error {
+	done, err := s.conn.Exec(ctx, updateRow, w.version+1, tag, w.id, w.version)
+	if err == nil && done.RowsAffected() == 0 {
+		return errNoRow
+	}
+	return err
+}
+
+// settle records the outcome of an update of w.
+func (s *session) settle(w *row, e history.Event, err error) history.Outcome {
+	e.Outcome, e.Code = outcomeOf(err)
+	if errors.Is(err, errNoRow) {
+		e.Outcome = history.Denied
+	}
+	e.Version = history.UnknownVersion
+	switch e.Outcome {
+	case history.OK:
+		w.version++
+		e.Version = w.version
+	case history.MayHaveRun, history.Denied:
+		w.version = history.UnknownVersion
+	}
+	s.run.Recorder.Add(e)
+	if err != nil {
+		s.run.classify(err, e)
+	}
+	return e.Outcome
+}
+
+// transaction updates two own rows in one transaction.
+func (s *session) transaction(ctx context.Context) history.Outcome {
+	e := s.event(history.Tx)
+	e.Tag = s.tag()
+	committing, err := s.updateBoth(ctx, &e)
+	outcome, code := outcomeOf(err)
+	if err != nil && !committing && outcome != history.NotRun {
+		outcome = history.Denied // without COMMIT there is no effect
+	}
+	e.Outcome, e.Code = outcome, code
+	e.End = s.run.Recorder.Begin()
+	for i := range s.rows {
+		w := &s.rows[i]
+		one := e
+		one.Row = w.id
+		switch outcome {
+		case history.OK:
+			w.version++
+			one.Version = w.version
+		case history.MayHaveRun, history.Denied:
+			w.version = history.UnknownVersion
+		}
+		if i > 0 {
+			one.Statements = -1
+		}
+		s.run.Recorder.Add(one)
+	}
+	if err != nil {
+		s.run.classify(err, e)
+	}
+	return outcome
+}
+
+// updateBoth reports whether COMMIT was sent. It counts the statements in e.
+func (s *session) updateBoth(ctx context.Context, e *history.Event) (committing bool, err error) {
+	if _, err := s.conn.Exec(ctx, "BEGIN"); err != nil {
+		return false, err
+	}
+	for i := range s.rows {
+		e.Statements++
+		if err := s.write(ctx, &s.rows[i], e.Tag); err != nil {
+			_, _ = s.conn.Exec(ctx, "ROLLBACK") // also ends a failed transaction
+			return false, err
+		}
+	}
+	done, err := s.conn.Exec(ctx, "COMMIT")
+	if err == nil && done.String() != "COMMIT" {
+		return false, errors.New("COMMIT answered with " + done.String())
+	}
+	return true, err
+}
+
+// booking inserts a row. A booking that was not run is sent again, which would show a wrong verdict
+// as a duplicate; each send has a row id of its own.
+func (s *session) booking(ctx context.Context) history.Outcome {
+	booking := "b-" + s.tag()
+	var outcome history.Outcome
+	for send := range resends {
+		e := s.event(history.Insert)
+		e.Booking, e.Tag, e.Version = booking, booking, 1
+		e.Row = fmt.Sprintf("%s/%d", booking, send)
+		_, err := s.conn.Exec(ctx, insertRow, e.Row, booking, e.Tag)
+		outcome = s.finish(e, err)
+		if outcome != history.NotRun || s.conn.IsClosed() || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(refusalPause)
+	}
+	return outcome
+}
+
+// keyedBooking inserts a row with a request key and sends it again, through any host, until its
+// outcome is known.
+func (s *session) keyedBooking(ctx context.Context) history.Outcome {
+	booking := "k-" + s.tag()
+	unknown := false
+	var outcome history.Outcome
+	for send := range resends {
+		if !s.connect(ctx) {
+			outcome = history.NotRun
+			continue
+		}
+		e := s.event(history.Insert)
+		e.Booking, e.Tag, e.Version, e.RequestKey = booking, booking, 1, booking
+		e.Row = fmt.Sprintf("%s/%d", booking, send)
+		e.Statements = 0
+		err := s.insertKeyed(ctx, &e)
+		if unknown {
+			e.Row = "" // any of the sends may have run
+		}
+		outcome = s.finish(e, err)
+		unknown = unknown || outcome == history.MayHaveRun
+		if outcome == history.OK || outcome == history.Denied || ctx.Err() != nil {
+			break
+		}
+		if outcome == history.MayHaveRun {
+			s.disconnect()
+		}
+		time.Sleep(refusalPause)
+	}
+	if outcome != history.OK {
+		s.disconnect() // the key may still be set
+	}
+	return outcome
+}
+
+func (s *session) insertKeyed(ctx context.Context, e *history.Event) error {
+	e.Statements++
+	if _, err := s.conn.Exec(ctx, fmt.Sprintf("SET citron.request_key = '%s'", e.RequestKey)); err != nil {
+		return err
+	}
+	e.Statements++
+	_, err := s.conn.Exec(ctx, insertRow, pgx.QueryExecModeSimpleProtocol, e.Row, e.Booking, e.Tag)
+	return err
+}
--- /dev/null
+++ b/bench/internal/load/session.go
@@ -0,0 +1,181 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/citronrun/citronrun/bench/internal/history"
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/verdict"
+)
+
+// row is a row that only its session updates.
+type row struct {
+	id      string
+	version int64 // history.UnknownVersion after an update whose outcome is unknown
+}
+
+// session is one caller.
+type session struct {
+	run     *Run
+	team    Team
+	service string
+	name    string
+	rng     *rand.Rand
+	token   bool // presents the session token when it reconnects
+	rule    catalog.Rule
+	rows    []row
+	others  []string // rows of other sessions of the service
+
+	conn      *pgx.Conn
+	connected int
+	seen      string // session token
+	next      int    // number of the next booking or tag
+}
+
+func (s *session) loop(ctx context.Context) {
+	due := time.Now()
+	for ctx.Err() == nil && !s.run.cfg.Gone(s.team.Name) {
+		due = due.Add(s.run.arrival(s))
+		op := s.choose()
+		s.run.offer(s.team.Name, op.cost)
+		if time.Since(due) > maxBacklog {
+			due = due.Add(s.run.arrival(s))
+			continue
+		}
+		select {
+		case <-time.After(time.Until(due)):
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		s.do(ctx, op)
+	}
+	s.disconnect()
+}
+
+func (s *session) do(ctx context.Context, op operation) {
+	if !s.connect(ctx) {
+		return
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), statementTimeout)
+	defer cancel()
+	outcome := op.run(bounded)
+	if s.conn != nil {
+		if t := s.conn.PgConn().ParameterStatus("citron.token"); t != "" {
+			s.seen = t
+		}
+	}
+	switch {
+	case s.conn != nil && s.conn.IsClosed(), outcome == history.MayHaveRun:
+		s.disconnect()
+	case s.run.cfg.Roaming && op.write:
+		s.disconnect()
+	}
+	if outcome == history.NotRun {
+		time.Sleep(refusalPause)
+	}
+}
+
+func (s *session) connect(ctx context.Context) bool {
+	if s.conn != nil && !s.conn.IsClosed() {
+		return true
+	}
+	token := ""
+	if s.token {
+		token = s.seen
+	}
+	bounded, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := s.run.cfg.Connect(bounded, s.rng, s.team.Name, s.service, token)
+	if err != nil {
+		time.Sleep(connectPause)
+		return false
+	}
+	s.conn = conn
+	s.connected++
+	return true
+}
+
+func (s *session) disconnect() {
+	if s.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	_ = s.conn.Close(ctx)
+	s.conn = nil
+}
+
+// reader returns the name under which reads of other sessions' rows are recorded. Without the token,
+// a new connection promises the session's own writes only.
+func (s *session) reader() string {
+	if s.token {
+		return s.name
+	}
+	return fmt.Sprintf("%s/%d", s.name, s.connected)
+}
+
+// event starts an event of this session.
+func (s *session) event(op history.Op) history.Event {
+	return history.Event{
+		Session: s.name, Team: s.team.Name, Service: s.service, Op: op,
+		Start: s.run.Recorder.Begin(), Statements: 1,
+	}
+}
+
+// finish records an event with the outcome that an error shows.
+func (s *session) finish(e history.Event, err error) history.Outcome {
+	e.Outcome, e.Code = outcomeOf(err)
+	e.End = s.run.Recorder.Begin()
+	s.run.Recorder.Add(e)
+	if err != nil {
+		s.run.classify(err, e)
+	}
+	return e.Outcome
+}
+
+// outcomeOf returns what an error says about its request. Nothing but a stated verdict or an error of
+// the database itself shows that a request had no effect.
+func outcomeOf(err error) (history.Outcome, string) {
+	if err == nil {
+		return history.OK, ""
+	}
+	pg, ok := errors.AsType[*pgconn.PgError](err)
+	if !ok {
+		return history.MayHaveRun, ""
+	}
+	switch {
+	case pg.Detail == detail(verdict.NotRun):
+		return history.NotRun, pg.Code
+	case pg.Detail == detail(verdict.MayHaveRun), pg.Code == verdict.CodeOutcomeUnknown:
+		return history.MayHaveRun, pg.Code
+	}
+	return history.Denied, pg.Code
+}
+
+func detail(v verdict.Verdict) string { return "verdict: " + v.String() }
+
+// classify counts errors by code and message, with numbers removed.
+func (r *Run) classify(err error, e history.Event) {
+	text := err.Error()
+	if pg, ok := errors.AsType[*pgconn.PgError](err); ok {
+		text = pg.Code + " " + pg.Message
+	}
+	r.note("%s %s: %s", e.Op, e.Outcome, strings.Map(digitless, text))
+}
+
+func digitless(c rune) rune {
+	if c >= '0' && c <= '9' {
+		return '#'
+	}
+	return c
+}
--- /dev/null
+++ b/bench/internal/network/network.go
@@ -0,0 +1,146 @@
+// Package network simulates the links between places on loopback: UDP relays in front of the QUIC
+// ports of hosts and TCP relays in front of targets and callers' ports, with delay, jitter, loss and
+// cuts.
+package network
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// queuePackets bounds what is under way on one flow and direction; more is dropped.
+const queuePackets = 4096
+
+// Direction says which traffic of a host a cut stops.
+type Direction uint8
+
+// The directions of a cut.
+const (
+	Open Direction = iota
+	CutBoth
+	CutOutgoing
+	CutIncoming
+)
+
+// Link describes the quality of the links between places.
+type Link struct {
+	Delay  time.Duration // one way, between places
+	Local  time.Duration // one way, within a place
+	Jitter time.Duration // at most, added per packet between hosts
+	Loss   float64       // share of packets between hosts, 0 to 1
+}
+
+// Network holds the state that all relays share. Its methods are safe for concurrent use.
+type Network struct {
+	mu     sync.Mutex
+	link   Link
+	rng    *rand.Rand
+	places map[string]string    // by host
+	cuts   map[string]Direction // by host
+}
+
+// New returns a network without cuts.
+func New(seed uint64, link Link) *Network {
+	return &Network{
+		link:   link,
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		places: map[string]string{},
+		cuts:   map[string]Direction{},
+	}
+}
+
+// SetLink changes the quality of all links.
+func (n *Network) SetLink(link Link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.link = link
+}
+
+// Place records where a host is.
+func (n *Network) Place(host, place string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.places[host] = place
+}
+
+// Cut stops the QUIC traffic of a host in the given direction, or restores it with Open.
+func (n *Network) Cut(host string, d Direction) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[host] = d
+}
+
+// Delay returns the one-way delay between two places, without jitter.
+func (n *Network) Delay(from, to string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay(from, to)
+}
+
+func (n *Network) delay(from, to string) time.Duration {
+	if from == to {
+		return n.link.Local
+	}
+	return n.link.Delay
+}
+
+// packet returns the delay of a packet between hosts, or false when it is lost.
+func (n *Network) packet(from, to string) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if out := n.cuts[from]; out == CutBoth || out == CutOutgoing {
+		return 0, false
+	}
+	if in := n.cuts[to]; in == CutBoth || in == CutIncoming {
+		return 0, false
+	}
+	if n.link.Loss > 0 && n.rng.Float64() < n.link.Loss {
+		return 0, false
+	}
+	d := n.delay(n.places[from], n.places[to])
+	if n.link.Jitter > 0 {
+		d += time.Duration(n.rng.Int64N(int64(n.link.Jitter)))
+	}
+	return d, true
+}
+
+// delayed is data that is due at a time.
+type delayed struct {
+	due  time.Time
+	data []byte
+}
+
+// queue delivers data in order, each item not before it is due.
+type queue struct {
+	items chan delayed
+	done  chan struct{}
+}
+
+func newQueue(done chan struct{}, deliver func([]byte) error) *queue {
+	q := &queue{items: make(chan delayed, queuePackets), done: done}
+	go q.run(deliver)
+	return q
+}
+
+func (q *queue) run(deliver func([]byte) error) {
+	for {
+		select {
+		case d := <-q.items:
+			time.Sleep(time.Until(d.due))
+			if deliver(d.data) != nil {
+				return
+			}
+		case <-q.done:
+			return
+		}
+	}
+}
+
+// offer queues a copy of data, or drops it when the queue is full.
+func (q *queue) offer(data []byte, after time.Duration) {
+	select {
+	case q.items <- delayed{time.Now().Add(after), append([]byte(nil), data...)}:
+	default:
+	}
+}
--- /dev/null
+++ b/bench/internal/network/tcp.go
@@ -0,0 +1,141 @@
+package network
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+const chunkBytes = 32 << 10
+
+// TCP relays connections to an address with a delay in both directions.
+type TCP struct {
+	listener net.Listener
+	target   string
+	delay    func() time.Duration
+	rewrite  [2][]byte // of equal length; nil: none
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// NewTCP starts a relay on listen, IP:PORT, to target. In the stream to the target, from is replaced
+// by to, which has the same length; both may be empty.
+func NewTCP(listen, target string, delay func() time.Duration, from, to string) (*TCP, error) {
+	l, err := net.Listen("tcp4", listen)
+	if err != nil {
+		return nil, err
+	}
+	t := &TCP{listener: l, target: target, delay: delay, conns: map[net.Conn]bool{}}
+	t.rewrite = [2][]byte{[]byte(from), []byte(to)}
+	go t.serve()
+	return t, nil
+}
+
+// Addr returns the address of the relay, IP:PORT.
+func (t *TCP) Addr() string { return t.listener.Addr().String() }
+
+// Close stops the relay and its connections.
+func (t *TCP) Close() {
+	_ = t.listener.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		_ = c.Close()
+	}
+}
+
+func (t *TCP) serve() {
+	for {
+		c, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		go t.relay(c)
+	}
+}
+
+func (t *TCP) relay(c net.Conn) {
+	defer c.Close()
+	up, err := net.Dial("tcp4", t.target)
+	if err != nil {
+		reset(c)
+		return
+	}
+	defer up.Close()
+	t.track(c, up)
+	defer t.untrack(c, up)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { t.pump(up, c, done, true) })
+	wg.Go(func() { t.pump(c, up, done, false) })
+	wg.Wait()
+	close(done)
+}
+
+// reset closes a connection so that the peer sees an error and not the end of a stream.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+func (t *TCP) track(conns ...net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range conns {
+		t.conns[c] = true
+	}
+}
+
+func (t *TCP) untrack(conns ...net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range conns {
+		delete(t.conns, c)
+	}
+}
+
+// pump copies from src to dst with the delay. At the end of src it closes both once all was
+// delivered.
+func (t *TCP) pump(dst, src net.Conn, done chan struct{}, toTarget bool) {
+	delivered := make(chan struct{})
+	q := &queue{items: make(chan delayed, queuePackets), done: done}
+	go func() {
+		defer close(delivered)
+		q.run(func(p []byte) error {
+			if p == nil {
+				return io.EOF
+			}
+			_, err := dst.Write(p)
+			return err
+		})
+	}()
+	buf := make([]byte, chunkBytes)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 {
+			p := bytes.Clone(buf[:n])
+			if toTarget && len(t.rewrite[0]) > 0 {
+				p = bytes.ReplaceAll(p, t.rewrite[0], t.rewrite[1])
+			}
+			select {
+			case q.items <- delayed{time.Now().Add(t.delay()), p}:
+			case <-delivered:
+				err = io.EOF
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	select {
+	case q.items <- delayed{time.Now().Add(t.delay()), nil}:
+		<-delivered
+	case <-delivered:
+	}
+	_ = dst.Close()
+	_ = src.Close()
+}
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,104 @@
+// Command bench measures citrond under load and faults and checks the histories of its answers.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/citronrun/citronrun/bench/internal/cluster"
+)
+
+const (
+	exitOK     = 0
+	exitBroken = 1 // a guarantee was broken
+	exitFailed = 2 // the run could not be carried out
+)
+
+// options are the flags of a run.
+type options struct {
+	profile  string
+	scenario string
+	seed     uint64
+	duration time.Duration
+	citrond  string
+	keep     string
+}
+
+func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func command(args []string, out, errs io.Writer) int {
+	fs := flag.NewFlagSet("bench", flag.ContinueOnError)
+	fs.SetOutput(errs)
+	var o options
+	fs.StringVar(&o.profile, "profile", "regie", "deployment: regie or prys")
+	fs.StringVar(&o.scenario, "scenario", "steady", "scenario, see -list")
+	fs.Uint64Var(&o.seed, "seed", 1, "seed of all random choices")
+	fs.DurationVar(&o.duration, "duration", 30*time.Second, "length of the load")
+	fs.StringVar(&o.citrond, "citrond", "", "program to run; empty: built from this repository")
+	fs.StringVar(&o.keep, "keep", "", "folder that keeps settings, data and logs; empty: a temporary one")
+	asJSON := fs.Bool("json", false, "print one JSON object")
+	list := fs.Bool("list", false, "list the scenarios")
+	if err := fs.Parse(args); err != nil {
+		return exitFailed
+	}
+	if *list {
+		for _, s := range scenarios {
+			fmt.Fprintf(out, "%-18s %s\n", s.name, s.about)
+		}
+		return exitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	res, err := run(ctx, o)
+	if err != nil {
+		fmt.Fprintf(errs, "bench: %v\n", err)
+		return exitFailed
+	}
+	if err := write(out, res, *asJSON); err != nil {
+		fmt.Fprintf(errs, "bench: %v\n", err)
+		return exitFailed
+	}
+	if res.Broken() {
+		return exitBroken
+	}
+	return exitOK
+}
+
+func write(out io.Writer, res *Result, asJSON bool) error {
+	if !asJSON {
+		return res.table(out)
+	}
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(res)
+}
+
+// folder returns the folder of a run and a function that removes it unless it is to be kept.
+func folder(keep string) (dir string, remove func(), err error) {
+	if keep != "" {
+		return keep, func() {}, os.MkdirAll(keep, 0o700)
+	}
+	dir, err = os.MkdirTemp("", "citronrun-bench-")
+	return dir, func() { _ = os.RemoveAll(dir) }, err
+}
+
+func startCluster(ctx context.Context, o options, dir string) (*cluster.Cluster, error) {
+	profile, err := cluster.ProfileNamed(o.profile)
+	if err != nil {
+		return nil, err
+	}
+	root, err := cluster.FindRoot()
+	if err != nil {
+		return nil, err
+	}
+	return cluster.Start(ctx, cluster.Config{
+		Profile: profile, Root: root, Citrond: o.citrond, Dir: dir, Seed: o.seed,
+	})
+}
