--- a/bench/internal/load/operations.go
+++ b/bench/internal/load/operations.go
@@ -171,6 +171,9 @@
 	outcome, code := outcomeOf(err)
 	if err != nil && !committing && outcome != history.NotRun {
 		outcome = history.Denied // without COMMIT there is no effect
+		if !errors.Is(err, errNoRow) {
+			e.Statements = max(1, e.Statements-1) // the last one may not have been admitted
+		}
 	}
 	e.Outcome, e.Code = outcome, code
 	e.End = s.run.Recorder.Begin()
--- a/bench/main.go
+++ b/bench/main.go
@@ -52,6 +52,7 @@
 		for _, s := range scenarios {
 			fmt.Fprintf(out, "%-18s %s\n", s.name, s.about)
 		}
+		fmt.Fprintf(out, "%-18s %s\n", combinedName, combinedAbout)
 		return exitOK
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -65,7 +66,7 @@
 		fmt.Fprintf(errs, "bench: %v\n", err)
 		return exitFailed
 	}
-	if res.Broken() {
+	if res.Broken {
 		return exitBroken
 	}
 	return exitOK
--- a/bench/result.go
+++ b/bench/result.go
@@ -54,17 +54,13 @@
 	Outcomes  map[string]int     `json:"outcomes"`
 	LatencyMS map[string]Latency `json:"latency_ms"`
 	Errors    map[string]int     `json:"errors"` // by operation, outcome and message
+	Broken    bool               `json:"broken"` // a guarantee was broken
 	Failures  []string           `json:"failures"`
 }
 
-// Broken reports whether a guarantee was broken.
-func (r *Result) Broken() bool {
-	return len(r.Failures) > 0 || r.OverRate+r.LostAcknowledged+r.DuplicateBookings+r.RepeatedRequests+
-		r.StaleReads+r.MixedTransactions+r.NotRunButRan+r.NotLinearizable+r.KeysSeen > 0
-}
-
 func (t *trial) result(ctx context.Context, final history.Final) *Result {
 	events := t.load.Events()
+	t.checkWithdrawn(events)
 	report := history.Check(events, final, t.limits())
 	r := &Result{
 		Profile: t.options.profile, Scenario: t.options.scenario, Seed: t.options.seed,
@@ -79,13 +75,14 @@
 		NotRunButRan:      report.NotRunButRan,
 		NotLinearizable:   report.NotLinearizable,
 		Undecided:         report.Undecided,
-		Failures:          append(t.failures, report.Failures...),
+		Failures:          append(slices.Clone(t.failures), report.Failures...),
 		Errors:            t.load.Odd(),
 	}
 	for _, target := range t.cluster.KeysSeen() {
 		r.KeysSeen++
 		r.Failures = append(r.Failures, "target "+target+" saw a team's key")
 	}
+	r.Broken = !report.OK() || r.KeysSeen > 0 || len(t.failures) > 0
 	r.measure(events, t.options.duration)
 	r.share(events, t.load.Offered(), t.limits(), t.options.duration)
 	replica, primary := t.cluster.Reads(ctx)
@@ -124,7 +121,9 @@
 	for _, e := range events {
 		r.Statements += statements(e)
 		if e.Session == "setup" {
-			writes[e.Service] = writes[e.Service] // a service without any write has a gap too
+			if writes[e.Service] == nil {
+				writes[e.Service] = []time.Duration{0} // a service without any write has a gap too
+			}
 			continue
 		}
 		r.Outcomes[e.Outcome.String()]++
--- a/bench/run.go
+++ b/bench/run.go
@@ -38,7 +38,8 @@
 
 	mu       sync.Mutex
 	failures []string
-	gone     map[string]time.Time // when the key of a team was withdrawn
+	gone     map[string]time.Time     // when the key of a team was withdrawn
+	goneAt   map[string]time.Duration // the same, since the run began
 }
 
 // run carries out one scenario.
