Test the tool's measures; count unstated shutdowns as unknown outcomes

Cause: an error of class 08 or 57P without a verdict doesn't show that a request had no effect. Change: such errors are recorded as MayHaveRun; tests cover outcomes, shares, gaps and withdrawals.

--- a/bench/internal/load/session.go
+++ b/bench/internal/load/session.go
@@ -156,12 +156,19 @@
 	switch {
 	case pg.Detail == detail(verdict.NotRun):
 		return history.NotRun, pg.Code
-	case pg.Detail == detail(verdict.MayHaveRun), pg.Code == verdict.CodeOutcomeUnknown:
+	case pg.Detail == detail(verdict.Ran):
+		return history.Denied, pg.Code
+	case pg.Detail == detail(verdict.MayHaveRun), brokenConnection(pg.Code):
 		return history.MayHaveRun, pg.Code
 	}
 	return history.Denied, pg.Code
 }
 
+// brokenConnection reports whether a code is of the classes of lost connections or shutdowns.
+func brokenConnection(code string) bool {
+	return strings.HasPrefix(code, "08") || strings.HasPrefix(code, "57P")
+}
+
 func detail(v verdict.Verdict) string { return "verdict: " + v.String() }
 
 // classify counts errors by code and message, with numbers removed.
--- /dev/null
+++ b/bench/result_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/bench/internal/history"
+)
+
+// Guards against gaps that are missed at the start or the end of a run.
+func TestLongestGap(t *testing.T) {
+	is := is.New(t)
+	is.Equal(longestGap([]time.Duration{3, 9}, 10), time.Duration(6))
+	is.Equal(longestGap([]time.Duration{7, 9}, 10), time.Duration(7))
+	is.Equal(longestGap([]time.Duration{2}, 10), time.Duration(8))
+}
+
+// Guards against a team that counts as badly served because it wants more than its rate.
+func TestShareOfOwed(t *testing.T) {
+	is := is.New(t)
+	events := []history.Event{
+		{Team: "noisy", Outcome: history.OK, Statements: 30},
+		{Team: "noisy", Outcome: history.NotRun, Statements: 70},
+		{Team: "quiet", Outcome: history.OK, Statements: 9},
+	}
+	limits := map[string]history.Limit{"noisy": {Rate: 2, Burst: 10}, "quiet": {Rate: 100}}
+	var r Result
+	r.share(events, map[string]float64{"noisy": 100, "quiet": 10}, limits, 10*time.Second)
+	is.Equal(r.WorstTeam, "quiet")
+	is.Equal(r.WorstTeamShare, 0.9)
+}
+
+// Guards against combined runs that differ between two runs with one seed.
+func TestCombinedIsSeeded(t *testing.T) {
+	is := is.New(t)
+	a, err := scenarioNamed(combinedName, 5)
+	is.NoErr(err)
+	b, err := scenarioNamed(combinedName, 5)
+	is.NoErr(err)
+	is.Equal(len(a.faults), combinedFaults)
+	for i := range a.faults {
+		is.Equal(a.faults[i].name, b.faults[i].name)
+	}
+	_, err = scenarioNamed("unknown", 1)
+	is.True(err != nil)
+}
+
+// Guards against requests that run with a withdrawn key and go unnoticed.
+func TestWithdrawnKeyStillWorks(t *testing.T) {
+	is := is.New(t)
+	tr := &trial{goneAt: map[string]time.Duration{"a": time.Second}}
+	late := time.Second + withdrawalBound + 1
+	tr.checkWithdrawn([]history.Event{
+		{Team: "a", Start: time.Second, Outcome: history.OK},
+		{Team: "b", Start: late, Outcome: history.OK},
+		{Team: "a", Start: late, Outcome: history.NotRun},
+	})
+	is.Equal(len(tr.failures), 0)
+	tr.checkWithdrawn([]history.Event{{Team: "a", Start: late, Outcome: history.OK}})
+	is.Equal(len(tr.failures), 1)
+}
