--- a/bench/internal/load/operations.go
+++ b/bench/internal/load/operations.go
@@ -189,7 +189,7 @@
 			w.version = history.UnknownVersion
 		}
 		if i > 0 {
-			one.Statements = -1
+			one.Statements, one.Code = -1, "" // one refusal, not two
 		}
 		s.run.Recorder.Add(one)
 	}
@@ -225,8 +225,8 @@
 	var outcome history.Outcome
 	for send := range resends {
 		e := s.event(history.Insert)
-		e.Booking, e.Tag, e.Version = booking, booking, 1
 		e.Row = fmt.Sprintf("%s/%d", booking, send)
+		e.Booking, e.Tag, e.Version = booking, e.Row, 1
 		_, err := s.conn.Exec(ctx, insertRow, e.Row, booking, e.Tag)
 		outcome = s.finish(e, err)
 		if outcome != history.NotRun || s.conn.IsClosed() || ctx.Err() != nil {
@@ -249,12 +249,12 @@
 			continue
 		}
 		e := s.event(history.Insert)
-		e.Booking, e.Tag, e.Version, e.RequestKey = booking, booking, 1, booking
 		e.Row = fmt.Sprintf("%s/%d", booking, send)
+		e.Booking, e.Tag, e.Version, e.RequestKey = booking, e.Row, 1, booking
 		e.Statements = 0
 		err := s.insertKeyed(ctx, &e)
 		if unknown {
-			e.Row = "" // any of the sends may have run
+			e.Row, e.Tag = "", "" // any of the sends may have run
 		}
 		outcome = s.finish(e, err)
 		unknown = unknown || outcome == history.MayHaveRun
