--- a/bench/internal/cluster/host.go
+++ b/bench/internal/cluster/host.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -37,19 +38,37 @@
 	exited  chan struct{}
 }
 
-// freePort returns a free TCP and UDP port of the loopback interface.
+// Ports of hosts lie below those that the system gives out, so that none is taken between its choice
+// and the start of the process.
+const (
+	firstPort    = 12000
+	ports        = 18000
+	portAttempts = 100
+)
+
+// freePort returns an address of the loopback interface whose port is free for TCP and UDP.
 func freePort() (string, error) {
-	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+	var err error
+	for range portAttempts {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if err = tryPort(addr); err == nil {
+			return addr, nil
+		}
+	}
+	return "", err
+}
+
+func tryPort(addr string) error {
+	tcp, err := net.Listen("tcp4", addr)
 	if err != nil {
-		return "", err
+		return err
 	}
 	defer tcp.Close()
-	udp, err := net.ListenPacket("udp4", tcp.Addr().String())
+	udp, err := net.ListenPacket("udp4", addr)
 	if err != nil {
-		return "", err
+		return err
 	}
-	defer udp.Close()
-	return tcp.Addr().String(), nil
+	return udp.Close()
 }
 
 // newHost reserves addresses and starts the relays.
--- a/bench/result.go
+++ b/bench/result.go
@@ -33,6 +33,7 @@
 	Seed       uint64  `json:"seed"`
 	DurationS  float64 `json:"duration_s"`
 	Statements int     `json:"statements"`
+	StallMS    float64 `json:"stall_ms"` // longest delay of the bench process's own timers
 
 	ReplicaReadShare float64 `json:"replica_read_share"`
 	FailoverGapMS    Gap     `json:"failover_gap_ms"`
@@ -65,6 +66,7 @@
 	r := &Result{
 		Profile: t.options.profile, Scenario: t.options.scenario, Seed: t.options.seed,
 		DurationS:         t.options.duration.Seconds(),
+		StallMS:           float64(t.stall.Microseconds()) / 1000,
 		OverRate:          report.OverRate,
 		WrongfulRefusals:  report.WrongfulRefusals,
 		LostAcknowledged:  report.LostAcknowledged,
@@ -193,6 +195,7 @@
 	line := func(name string, value any) { fmt.Fprintf(w, "%s\t%v\n", name, value) }
 	line("run", fmt.Sprintf("%s %s seed %d, %.0f s", r.Profile, r.Scenario, r.Seed, r.DurationS))
 	line("statements", r.Statements)
+	line("stall ms", fmt.Sprintf("%.0f", r.StallMS))
 	line("replica read share", fmt.Sprintf("%.3f", r.ReplicaReadShare))
 	line("failover gap ms", fmt.Sprintf("p50 %.0f, p99 %.0f, max %.0f", r.FailoverGapMS.P50, r.FailoverGapMS.P99, r.FailoverGapMS.Max))
 	line("worst team share", fmt.Sprintf("%.3f %s", r.WorstTeamShare, r.WorstTeam))
--- a/bench/run.go
+++ b/bench/run.go
@@ -22,6 +22,7 @@
 	smallSessions = 3
 	usualLoad     = 0.6 // of a team's rate
 	drainTimeout  = 30 * time.Second
+	stallInterval = 10 * time.Millisecond
 )
 
 // usualMix is the load of teams that a scenario doesn't change.
@@ -36,6 +37,8 @@
 	catalog  *catalog.Snapshot
 	rng      *rand.Rand
 
+	stall time.Duration // longest delay of this process's own timers
+
 	mu       sync.Mutex
 	failures []string
 	gone     map[string]time.Time     // when the key of a team was withdrawn
@@ -160,10 +163,21 @@
 			}
 		})
 	}
+	wg.Go(func() { t.stall = watchStalls(ctx) })
 	t.load.Do(ctx)
 	wg.Wait()
 }
 
+// watchStalls returns the longest time by which a timer was late. Relays and targets run in this
+// process, so that measures of a run with long stalls tell more about the machine than the proxy.
+func watchStalls(ctx context.Context) time.Duration {
+	var worst time.Duration
+	for last := time.Now(); pause(ctx, stallInterval); last = time.Now() {
+		worst = max(worst, time.Since(last)-stallInterval)
+	}
+	return worst
+}
+
 // final reads all rows from the primaries, past the proxy.
 func (t *trial) final(ctx context.Context) (history.Final, error) {
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
