--- a/bench/internal/load/operations.go
+++ b/bench/internal/load/operations.go
@@ -250,11 +250,11 @@
 		}
 		e := s.event(history.Insert)
 		e.Row = fmt.Sprintf("%s/%d", booking, send)
-		e.Booking, e.Tag, e.Version, e.RequestKey = booking, e.Row, 1, booking
+		e.Booking, e.Tag, e.Version, e.RequestKey = booking, booking, 1, booking
 		e.Statements = 0
 		err := s.insertKeyed(ctx, &e)
 		if unknown {
-			e.Row, e.Tag = "", "" // any of the sends may have run
+			e.Row = "" // any of the sends may have run
 		}
 		outcome = s.finish(e, err)
 		unknown = unknown || outcome == history.MayHaveRun
