--- a/bench/run.go
+++ b/bench/run.go
@@ -22,6 +22,7 @@
 	smallSessions = 3
 	usualLoad     = 0.6 // of a team's rate
 	drainTimeout  = 30 * time.Second
+	fillTime      = 3 * time.Second // until the new leader's token buckets hold the teams' bursts
 	stallInterval = 10 * time.Millisecond
 )
 
@@ -95,7 +96,11 @@
 		Connect:  t.connect,
 		Gone:     t.isGone,
 	})
-	return t.load.Prepare(ctx)
+	if err := t.load.Prepare(ctx); err != nil {
+		return err
+	}
+	pause(ctx, fillTime)
+	return ctx.Err()
 }
 
 // teams returns the load of each team of the catalog.
