--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -87,7 +87,7 @@
 
 const (
 	rushRate     = 1000 // statements/s of each heavily reading team
-	rushSessions = 16
+	rushSessions = 40
 )
 
 // raiseReaders raises the rate of the teams that read heavily.
