--- a/internal/agent/cost_test.go
+++ b/internal/agent/cost_test.go
@@ -32,12 +32,16 @@
 	costService = 250
 )
 
-// TestMain runs stand-in hosts instead of tests in the child process of BenchmarkLeader.
+// TestMain runs stand-in hosts or a leader instead of tests in the child processes of benchmarks.
 func TestMain(m *testing.M) {
 	if os.Getenv(standInEnv) == "" {
 		os.Exit(m.Run())
 	}
-	if err := standInHosts(os.Args[1:]); err != nil {
+	run := standInHosts
+	if os.Getenv(standInEnv) == "leader" {
+		run = standInLeader
+	}
+	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-func (d *demo) connect(ctx context.Context, t *testing.T, team string, host int) *pgx.Conn {
+func (d *demo) connect(ctx context.Context, t testing.TB, team string, host int) *pgx.Conn {
 	t.Helper()
 	c, err := pgx.Connect(ctx, d.url(team, d.entries[host], "bookings"))
 	if err != nil {
