--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -31,6 +31,10 @@
 	dirs     []string
 }
 
+// fleetSlots bounds the fleets that run at once. Each has up to ten daemons, and under the race
+// detector more of them slow each other down until bounds of real time are missed.
+var fleetSlots = make(chan struct{}, 3)
+
 // newFleet starts control hosts and entry hosts, without targets.
 func newFleet(t testing.TB, entries int) (*fleet, context.Context) {
 	t.Helper()
@@ -40,6 +44,8 @@
 // newFleetWith is newFleet with options of all hosts.
 func newFleetWith(t testing.TB, entries int, o Options) (*fleet, context.Context) {
 	t.Helper()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	d := newDemo(log.NewNopLogger())
 	d.options = o
