Fail rolling-restart when a request is interrupted

Change: interrupted counts requests without a known outcome; rolling-restart fails on any. Conclusion: unit tests pass; the scenario is expected to be red until the product is repaired.

--- a/bench/result.go
+++ b/bench/result.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/citronrun/citronrun/bench/internal/history"
+	"github.com/citronrun/citronrun/internal/verdict"
 )
 
 // Latency holds percentiles in milliseconds.
@@ -51,6 +52,7 @@
 	NotLinearizable   int `json:"not_linearizable"`
 	Undecided         int `json:"undecided"`
 	KeysSeen          int `json:"keys_seen"`
+	Interrupted       int `json:"interrupted"` // requests without a known outcome
 
 	Outcomes  map[string]int     `json:"outcomes"`
 	LatencyMS map[string]Latency `json:"latency_ms"`
@@ -62,6 +64,10 @@
 func (t *trial) result(ctx context.Context, final history.Final) *Result {
 	events := t.load.Events()
 	t.checkWithdrawn(events)
+	lost := interrupted(events)
+	if t.scenario.graceful && lost > 0 {
+		t.fail("graceful shutdowns interrupted %d requests", lost)
+	}
 	report := history.Check(events, final, t.limits())
 	r := &Result{
 		Profile: t.options.profile, Scenario: t.options.scenario, Seed: t.options.seed,
@@ -77,6 +83,7 @@
 		NotRunButRan:      report.NotRunButRan,
 		NotLinearizable:   report.NotLinearizable,
 		Undecided:         report.Undecided,
+		Interrupted:       lost,
 		Failures:          append(slices.Clone(t.failures), report.Failures...),
 		Errors:            t.load.Odd(),
 	}
@@ -109,6 +116,19 @@
 	return e.Statements
 }
 
+// interrupted counts the requests whose outcome is unknown, and transactions that were cut before
+// their COMMIT.
+func interrupted(events []history.Event) int {
+	n := 0
+	for _, e := range events {
+		cut := e.Outcome == history.Denied && e.Code == verdict.CodeOutcomeUnknown
+		if e.Statements >= 0 && (cut || e.Outcome == history.MayHaveRun) {
+			n++
+		}
+	}
+	return n
+}
+
 // currentReads counts the answered reads that only a primary may serve.
 func currentReads(events []history.Event) float64 {
 	n := 0.0
@@ -214,6 +234,7 @@
 	line("not linearizable", r.NotLinearizable)
 	line("undecided", r.Undecided)
 	line("keys seen by targets", r.KeysSeen)
+	line("interrupted requests", r.Interrupted)
 	for _, k := range sortedKeys(r.Outcomes) {
 		line("outcome "+k, r.Outcomes[k])
 	}
--- a/bench/result_test.go
+++ b/bench/result_test.go
@@ -61,3 +61,17 @@
 	tr.checkWithdrawn([]history.Event{{Team: "a", Start: late, Outcome: history.OK}})
 	is.Equal(len(tr.failures), 1)
 }
+
+// Guards against requests cut by a graceful shutdown that go unnoticed, and against counting the rows
+// of one transaction twice.
+func TestInterrupted(t *testing.T) {
+	is := is.New(t)
+	is.Equal(interrupted([]history.Event{
+		{Outcome: history.OK},
+		{Outcome: history.NotRun, Code: "57P01"},
+		{Outcome: history.Denied, Code: "23505"},
+		{Outcome: history.MayHaveRun, Code: "08007"},
+		{Outcome: history.Denied, Code: "08007", Statements: 2},
+		{Outcome: history.Denied, Code: "08007", Statements: -1},
+	}), 2)
+}
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -14,6 +14,7 @@
 type scenario struct {
 	name, about string
 	roaming     bool
+	graceful    bool // no request may be interrupted
 	before      func(context.Context, *trial) error
 	shape       func(t *load.Team, labels map[string]string)
 	faults      []fault
@@ -39,7 +40,7 @@
 	{name: "control-isolated", about: "the control leader is cut off for the rest of the run", faults: []fault{{0.3, "isolate leader", isolateLeader}}},
 	{name: "roaming", about: "each session reconnects to another host after every write", roaming: true},
 	{name: "key-withdrawn", about: "the key of one team is withdrawn", faults: []fault{{0.3, "withdraw key", withdrawKey}}},
-	{name: "rolling-restart", about: "SIGTERM and restart of each entry host in turn", faults: []fault{{0.1, "restart hosts", restartHosts}}},
+	{name: "rolling-restart", about: "SIGTERM and restart of each entry host in turn", graceful: true, faults: []fault{{0.1, "restart hosts", restartHosts}}},
 	{name: "config-churn", about: "labels and policies change every 200 ms through different hosts", faults: []fault{{0.05, "change configuration", changeConfiguration}}},
 	{name: "lossy-link", about: "jitter and 2% loss between hosts", faults: []fault{{0.05, "lossy links", loseWith(lossShare)}}},
 }
