Reuse goroutines for streams and responses

Cause: the goroutines of streams and of relayed responses grew their stacks again for each transaction (12% of the owner's CPU time for remote transactions). Change: package workers keeps idle goroutines; the transport and the entry server use it. A call no longer fails when the peer has answered and closed the stream before the call ended its sending direction, which faster handlers made visible in TestLostPeer.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -95,6 +95,8 @@
 	// maxOutstanding is the number of requests without a response above which the relay asks the
 	// owner for the responses and waits.
 	maxOutstanding = 1 << 16
+	// maxIdleResponders bounds the goroutines that wait for the next transaction to relay.
+	maxIdleResponders = 256
 	// outBytes is the amount of responses collected before a write to the caller.
 	outBytes = 16 << 10
 	// relayBufferBytes is the read buffer of one open transaction.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/citronrun/citronrun/internal/auth"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
+	"github.com/citronrun/citronrun/internal/workers"
 )
 
 // ErrServerClosed is returned by Serve after Shutdown.
@@ -32,6 +33,8 @@
 	ctx     context.Context // ends when callers are cut
 	cut     context.CancelFunc
 
+	responders *workers.Pool // relay responses
+
 	mu        sync.Mutex
 	closing   bool
 	listeners map[net.Listener]struct{}
@@ -60,6 +63,7 @@
 	}
 	s.logger = log.With(s.cfg.Logger, "part", "entry")
 	s.ctx, s.cut = context.WithCancel(context.Background())
+	s.responders = workers.New(maxIdleResponders, s.ctx.Done())
 	s.metrics = newServerMetrics(s.cfg.Metrics, func() float64 { return float64(s.connections()) })
 	return s, nil
 }
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -74,7 +74,7 @@
 		tx.close()
 		return err
 	}
-	go c.respond(tx)
+	c.srv.responders.Go(func() { c.respond(tx) })
 	return nil
 }
 
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -141,9 +141,9 @@
 	if _, err := s.Write(body); err != nil {
 		return err
 	}
-	if err := s.CloseWrite(); err != nil {
-		return err
-	}
+	// This fails when the peer has answered and closed the stream already. The answer, or the error of
+	// a broken connection, is read below.
+	_ = s.CloseWrite()
 	if resp == nil {
 		// Closing at once would cancel the peer's handler.
 		_, err := io.Copy(io.Discard, s)
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -18,6 +18,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/citronrun/citronrun/internal/wire"
+	"github.com/citronrun/citronrun/internal/workers"
 )
 
 // Protocol is the ALPN name of version 1.
@@ -30,6 +31,7 @@
 	dialTimeout      = 2 * handshakeTimeout
 	headerTimeout    = 5 * time.Second
 	maxHeaderBytes   = 64
+	maxIdleWorkers   = 256
 	maxStreams       = 1 << 14 // concurrent streams of one connection and direction
 	streamWindow     = 256 << 10
 	maxStreamWindow  = wire.MaxSnapshotBytes
@@ -57,6 +59,8 @@
 	closed bool
 
 	streams sync.WaitGroup
+	workers *workers.Pool
+	end     context.CancelFunc // of idle workers
 }
 
 // Listen binds addr (IP:PORT, port 0 for any) and prepares the TLS configurations of both
@@ -83,8 +87,11 @@
 		handlers:  map[wire.Kind]Handler{},
 		dials:     map[string]*dial{},
 	}
+	ctx, end := context.WithCancel(context.Background())
+	e.workers, e.end = workers.New(maxIdleWorkers, ctx.Done()), end
 	e.listener, err = e.transport.Listen(serverTLS, e.quic)
 	if err != nil {
+		end()
 		err = errors.Join(err, e.transport.Close(), socket.Close())
 		return nil, fmt.Errorf("listen for QUIC: %w", err)
 	}
@@ -175,6 +182,7 @@
 	}
 	err := errors.Join(e.listener.Close(), e.transport.Close(), e.socket.Close())
 	e.streams.Wait()
+	e.end()
 	return err
 }
 
@@ -194,7 +202,7 @@
 			_ = conn.CloseWithError(codeClosed, "endpoint is closed")
 			return
 		}
-		go e.serveStream(conn, peer, qs)
+		e.workers.Go(func() { e.serveStream(conn, peer, qs) })
 	}
 }
 
