Let a graceful shutdown deliver answers; configure new installations; no balance move while a primary fails

(2) Hosts had no catalog before the first change, and citronctl apply got 503 on a new installation. Change: (1) after the hand-over a host waits until others know the new owners, then refuses new streams as NotRun, and closes once answers had time to arrive. (2) The empty catalog is sent too. (3) No move for balance unless the owner heard from the primary within 300 ms.

--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -89,7 +89,9 @@
 func (s *Server) addCatalog(reply *wire.RenewReply, req *wire.Renew) {
 	view := s.Machine.Catalog()
 	reply.Revision = view.Catalog.Revision
-	if req.CatalogRevision < view.Catalog.Revision {
+	// A host without a catalog and one with the empty catalog both say 0. The latter gets it again,
+	// since it is small.
+	if req.CatalogRevision < view.Catalog.Revision || view.Catalog.Revision == 0 {
 		reply.Catalog = view.Encoded
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,10 @@
 	// startTimeout bounds the wait of an entry host for its first configuration before it starts to
 	// accept callers anyway and refuses them until it has one.
 	startTimeout = 10 * time.Second
+	// routeSpread is the time in which all hosts learn of a change of owner: two renewals.
+	routeSpread = time.Second
+	// answerDelivery is the time for answers on their way to reach other hosts, lost packets included.
+	answerDelivery = 300 * time.Millisecond
 	// stopTimeout bounds the end of the background work after the graceful part of a shutdown.
 	stopTimeout = 3 * time.Second
 )
@@ -226,7 +230,9 @@
 	d.stopping.Store(true)
 	_ = level.Info(d.logger).Log("part", "daemon", "msg", "shutdown started")
 	err := d.handOver(ctx)
+	handedOver := time.Now()
 	err = errors.Join(err, d.stopEntry(ctx))
+	d.stopPeers(ctx, handedOver)
 	if d.replica != nil {
 		_ = d.replica.TransferLeadership(ctx) // a lost hand-over only costs an election
 	}
@@ -240,11 +246,7 @@
 	if d.entry == nil || d.lastHost.Load() {
 		return nil
 	}
-	select {
-	case <-time.After(d.settings.ShutdownDelay.Value()):
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	pause(ctx, d.settings.ShutdownDelay.Value())
 	if err := d.agent.Drain(ctx); err != nil {
 		return fmt.Errorf("hand over services: %w", err)
 	}
@@ -259,6 +261,27 @@
 	return errors.Join(err, d.owner.Shutdown(ctx))
 }
 
+// stopPeers lets other hosts finish with this one: they learn of the new owners with their next
+// renewal, and what they sent before is answered or refused as NotRun. Closing the connections at
+// once would discard answers on their way.
+func (d *Daemon) stopPeers(ctx context.Context, handedOver time.Time) {
+	if d.entry == nil || d.lastHost.Load() {
+		return
+	}
+	pause(ctx, routeSpread-time.Since(handedOver))
+	d.endpoint.Refuse()
+	pause(ctx, answerDelivery)
+}
+
+func pause(ctx context.Context, t time.Duration) {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // abort ends everything that runs, in the reverse order of its start.
 func (d *Daemon) abort() {
 	d.stopping.Store(true)
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -330,3 +330,19 @@
 	b.check(ctx, t, d, 0)
 	is.True(d.entries[0].agent.Catalog().Revision() >= revision)
 }
+
+// Guards against a new installation that can't be configured, since its hosts have no catalog before
+// the first change.
+func TestFirstChange(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	d := newDemo(log.NewNopLogger())
+	t.Cleanup(func() {
+		d.killAll()
+		d.cleanUp()
+	})
+	is.NoErr(d.startControl(ctx))
+	eventually(t, withdrawalBound, "empty catalog", func() bool { return d.control.Agent().Catalog() != nil })
+	is.Equal(d.control.Agent().Catalog().Revision(), uint64(0))
+}
--- a/internal/daemon/transactor.go
+++ b/internal/daemon/transactor.go
@@ -79,7 +79,7 @@
 		if n <= head {
 			return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "send to the owner of service %q: %w", req.Service, err)
 		}
-		return nil, unknown(err) // the frames may have arrived, and the owner may have acted on them
+		return nil, unanswered(err) // the frames may have arrived, and the owner may have acted on them
 	}
 	return awaitReply(ctx, &remoteStream{Stream: s}, s.Reset)
 }
@@ -92,7 +92,7 @@
 	stop()
 	if err != nil {
 		abort()
-		return nil, unknown(err)
+		return nil, unanswered(err)
 	}
 	if !reply.Admitted {
 		_ = s.Close()
@@ -101,7 +101,11 @@
 	return s, nil
 }
 
-func unknown(err error) error {
+// unanswered returns the error for a request without the owner's reply.
+func unanswered(err error) error {
+	if transport.Refused(err) {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the owner is shutting down: %w", err)
+	}
 	return verdict.New(verdict.MayHaveRun, verdict.CodeOutcomeUnknown, "connection to the owner was lost before its answer: %w", err)
 }
 
--- a/internal/failover/chart.go
+++ b/internal/failover/chart.go
@@ -33,6 +33,7 @@
 	proposalTime     = 1 * time.Second // for a proposal to change the record, before it is repeated
 	maxProbes        = 2               // hosts that are asked before the owner's own view decides
 	balanceGap       = 2               // difference in services that justifies a move
+	balanceSilence   = 300 * time.Millisecond
 )
 
 // Phase is what the leader is doing about a service.
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -218,6 +218,20 @@
 	return in.Now.Sub(m.changed) >= 2*Detection
 }
 
+// answering reports whether the owner has heard from the recorded primary a moment ago.
+func (m *Machine) answering(in *Input) bool {
+	r := m.fresh(in)
+	if r == nil {
+		return false
+	}
+	for _, t := range r.Targets {
+		if t.Target == in.Record.Primary {
+			return t.Silent < balanceSilence
+		}
+	}
+	return false
+}
+
 // majority reports whether the owner reaches a majority of the service's databases.
 func (m *Machine) majority(in *Input) bool {
 	r := m.fresh(in)
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -267,3 +267,39 @@
 		w.machine.Promote(w.now, rapid.SampledFrom(targets).Draw(t, "promote"))
 	}
 }
+
+// Guards against a move for balance while the primary is already failing: the new owner would have to
+// detect the failure anew, which added up to 4 s to the gap.
+func TestNoBalanceMoveWhilePrimaryFails(t *testing.T) {
+	for name, c := range map[string]struct {
+		silent time.Duration
+		moves  bool
+	}{
+		"answering": {100 * time.Millisecond, true},
+		"failing":   {400 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			owner := lease.Owner{Host: "h1", Boot: "b", Epoch: 1}
+			in := Input{
+				Now:    now,
+				Record: Record{Owner: owner, Term: 1, Primary: "t1"},
+				Hosts: []Host{
+					{Name: "h1", Boot: "b", Services: 3},
+					{Name: "h2", Boot: "b", Services: 0},
+				},
+				Databases:    1,
+				Places:       map[string]string{"t1": "p"},
+				MayRebalance: true,
+			}
+			m := New(now, in.Record)
+			in.Now = now.Add(steadyTime)
+			in.Report = &Report{At: in.Now, Term: 1, Primary: "t1", Targets: []wire.TargetReport{
+				{Target: "t1", Role: "primary", Term: 1, Silent: c.silent},
+			}}
+			m.Step(in)
+			is.Equal(m.Phase() == Releasing, c.moves)
+		})
+	}
+}
--- a/internal/failover/place.go
+++ b/internal/failover/place.go
@@ -49,7 +49,8 @@
 	if !in.MayRebalance || in.Record.Elect || in.Record.Primary == "" {
 		return nil
 	}
-	if in.Now.Sub(m.changed) < steadyTime {
+	// A move while the primary may be failing would start its detection anew at another owner.
+	if in.Now.Sub(m.changed) < steadyTime || !m.answering(in) {
 		return nil
 	}
 	owner := find(in, in.Record.Owner.Host)
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -116,8 +116,9 @@
 }
 
 // Call opens a stream, sends req, and reads one answer of at most wire.MaxSnapshotBytes into resp.
-// When resp is nil it waits for the peer's handler to return instead. ctx bounds the whole exchange. An error has the verdict NotRun when nothing
-// was sent or the peer refused the stream unseen, else MayHaveRun.
+// When resp is nil it waits for the peer's handler to return instead. ctx bounds the whole exchange.
+// An error has the verdict NotRun when nothing was sent or the peer refused the stream unseen, else
+// MayHaveRun.
 func (e *Endpoint) Call(ctx context.Context, addr string, kind wire.Kind, req, resp any) error {
 	body, err := encode(req)
 	if err != nil {
@@ -152,8 +153,15 @@
 	return wire.Read(s, resp, wire.MaxSnapshotBytes)
 }
 
+// Refused reports whether err, from a read or write of a stream, means that the peer has refused the
+// stream without looking at it.
+func Refused(err error) bool {
+	reset, ok := errors.AsType[*quic.StreamError](err)
+	return ok && reset.Remote && reset.ErrorCode == codeRefused
+}
+
 func callError(ctx context.Context, addr string, err error) error {
-	if reset, ok := errors.AsType[*quic.StreamError](err); ok && reset.Remote && reset.ErrorCode == codeRefused {
+	if Refused(err) {
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "request refused by %s: %w", addr, err)
 	}
 	if ctx.Err() != nil {
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -57,6 +57,7 @@
 
 	mu             sync.Mutex
 	dials          map[string]*dial
+	refusing       bool
 	closed         bool
 	conns          map[*quic.Conn]struct{} // open
 	sent, received uint64                  // bytes, on closed connections
@@ -226,17 +227,27 @@
 			return
 		}
 		if !e.startStream() {
-			_ = conn.CloseWithError(codeClosed, "endpoint is closed")
-			return
+			// Only the stream is refused. Responses to earlier ones may still be under way on this
+			// connection.
+			(&stream{qs: qs}).cancel(codeRefused)
+			continue
 		}
 		e.workers.Go(func() { e.serveStream(conn, peer, qs) })
 	}
 }
 
+// Refuse makes the endpoint refuse all further streams unseen, which their senders learn as NotRun.
+// Streams that have begun go on, and so do those that this endpoint opens.
+func (e *Endpoint) Refuse() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusing = true
+}
+
 func (e *Endpoint) startStream() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.closed {
+	if e.closed || e.refusing {
 		return false
 	}
 	e.streams.Add(1)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -191,3 +191,31 @@
 		}
 	})
 }
+
+// Guards against a graceful shutdown that cuts an answer under way, or that leaves the sender of a
+// late request in doubt whether it ran.
+func TestRefuseLetsRunningStreamsFinish(t *testing.T) {
+	is := is.New(t)
+	ca := testAuthority(t)
+	a, b := testEndpoint(t, ca, "a"), testEndpoint(t, ca, "b")
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	b.Handle(wire.KindProbe, func(ctx context.Context, peer string, s Stream) {
+		close(entered)
+		<-proceed
+		echo(ctx, peer, s)
+	})
+	serve(b)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	running := make(chan error, 1)
+	var reply wire.ProbeReply
+	go func() { running <- a.Call(ctx, b.Addr(), wire.KindProbe, wire.Probe{Target: "t"}, &reply) }()
+	<-entered
+	b.Refuse()
+	err := a.Call(ctx, b.Addr(), wire.KindProbe, wire.Probe{}, &wire.ProbeReply{})
+	is.True(err != nil)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	close(proceed)
+	is.NoErr(<-running)
+	is.Equal(reply.Role, "a:t")
+}
