Give control hosts of the load tools their certificate unit

Cause: control hosts need the organisational unit control since consensus messages are accepted from them only; the load tools made certificates without.

--- a/bench/cmd/pathbench/install.go
+++ b/bench/cmd/pathbench/install.go
@@ -148,7 +148,7 @@
 	if in.control == "" {
 		in.control = peers
 	}
-	pair, err := pki.NewHost(in.pair, name, nil, time.Now(), pki.HostLifetime)
+	pair, err := pki.NewHost(in.pair, name, nil, time.Now(), pki.HostLifetime, pki.ControlUnit)
 	if err != nil {
 		return nil, err
 	}
--- a/bench/internal/cluster/host.go
+++ b/bench/internal/cluster/host.go
@@ -106,7 +106,11 @@
 
 // write stores the settings file and the certificate of a host.
 func (c *Cluster) write(h *Host, callers string) error {
-	pair, err := pki.NewHost(c.authority, h.Name, nil, time.Now(), pki.HostLifetime)
+	var units []string
+	if !h.Entry {
+		units = append(units, pki.ControlUnit)
+	}
+	pair, err := pki.NewHost(c.authority, h.Name, nil, time.Now(), pki.HostLifetime, units...)
 	if err != nil {
 		return err
 	}
