Keep the slots of distant targets busy; interpret the failover chart from a file

The failover chart was a table in Go, although charts belong into files. Change: an owner has as many statements under way as fill the slots, from the measured round trip and statement time.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -40,6 +40,13 @@
 	g.wake()
 }
 
+// Cost returns the mean time for which a statement holds a slot of a lane, 0 if none has ended yet.
+func (g *Gate) Cost(name string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.Cost(name)
+}
+
 // Load returns the number of running and waiting requests of a lane and its slots.
 func (g *Gate) Load(name string) (requests, slots int) {
 	g.mu.Lock()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -298,6 +298,15 @@
 	return ids
 }
 
+// Cost returns the mean time for which a statement holds a slot of a lane, 0 if none has ended yet.
+func (q *Queue) Cost(name string) time.Duration {
+	l := q.lanes[name]
+	if l == nil {
+		return 0
+	}
+	return time.Duration(l.cost * float64(time.Second))
+}
+
 // Load returns the number of running and waiting requests of a lane and its slots.
 func (q *Queue) Load(name string) (requests, slots int) {
 	l := q.lanes[name]
--- a/internal/failover/actions.go
+++ b/internal/failover/actions.go
@@ -1,7 +1,5 @@
 package failover
 
-func (m *Machine) nothing(*Input) []Action { return nil }
-
 // probe asks a further host whether it reaches the primary. Without one, the owner's own view
 // decides in the next step.
 func (m *Machine) probe(in *Input) []Action {
--- a/internal/failover/chart.go
+++ b/internal/failover/chart.go
@@ -5,7 +5,12 @@
 // replicated state machine accepts only actions that build on the recorded epoch and term.
 package failover
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/statechart"
+)
 
 // The budget of a failover, from the fault to the first acknowledged write.
 const (
@@ -52,58 +57,88 @@
 	return [...]string{"steady", "suspect", "releasing", "electing"}[p]
 }
 
-// event is what a step has found.
+// event is what a step has found. The order is that of the chart's events.
 type event uint8
 
 const (
-	leaseFree     event = iota // returned, expired, or the service never had an owner
-	mustHandOver               // the owner drains, or the service was deleted
-	elected                    // the owner reports the outcome of the election
-	electionStuck              // no outcome in time and another host is available
-	primaryBack                // the suspected primary answers again
-	otherReaches               // another host reaches the primary
-	ownerCut                   // as allAgree, and the owner reaches no majority while another host is there
-	allAgree                   // another host doesn't reach it either, or none can be asked
-	probeTimeout               // the other host doesn't answer; a further one can be asked
-	primarySilent              // the owner reports silence for Detection
-	needsElection              // no primary recorded, or it is no longer one
-	promotion                  // planned by an operator
-	imbalance                  // another host suits better
+	leaseFree event = iota
+	mustHandOver
+	elected
+	electionStuck
+	primaryBack
+	otherReaches
+	ownerCut
+	allAgree
+	probeTimeout
+	primarySilent
+	needsElection
+	promotion
+	imbalance
 	eventCount
 )
 
+// String returns the name used in the chart.
+func (e event) String() string {
+	return [...]string{
+		"lease_free", "must_hand_over", "elected", "election_stuck", "primary_back", "other_reaches",
+		"owner_cut", "all_agree", "probe_timeout", "primary_silent", "needs_election", "promotion", "imbalance",
+	}[e]
+}
+
+// action carries out a transition's action by its name in the chart.
+type action func(*Machine, *Input) []Action
+
+func actions() map[string]action {
+	return map[string]action{
+		"assign":           (*Machine).assign,
+		"elect":            (*Machine).elect,
+		"probe":            (*Machine).probe,
+		"record_primary":   (*Machine).recordPrimary,
+		"release":          (*Machine).release,
+		"release_to_elect": (*Machine).releaseToElect,
+	}
+}
+
 type row struct {
 	next Phase
-	act  func(*Machine, *Input) []Action
+	act  action // nil: nothing to do
+}
+
+// chart holds the transitions of the embedded chart service_failover by phase and event. An event
+// without a row is ignored in that phase.
+var chart = mustLoadChart()
+
+// mustLoadChart panics on a chart that doesn't fit the code, which the package's tests would show.
+func mustLoadChart() map[Phase]map[event]row {
+	c, err := statechart.Load("service_failover")
+	if err != nil {
+		panic(err)
+	}
+	phases := map[string]Phase{}
+	for p := Steady; p <= Electing; p++ {
+		phases[p.String()] = p
+	}
+	rows := map[Phase]map[event]row{}
+	for name, p := range phases {
+		rows[p] = map[event]row{}
+		for e := event(0); e < eventCount; e++ {
+			next, names, ok := c.Next(name, e.String())
+			if !ok {
+				continue
+			}
+			rows[p][e] = row{next: phases[next], act: mustFind(names)}
+		}
+	}
+	return rows
 }
 
-// chart says what each phase does about each event. An event without a row is ignored in that
-// phase; a lease can end in any of them. Events are looked up in the order of their declaration; the first that holds counts.
-var chart = map[Phase]map[event]row{
-	Steady: {
-		leaseFree:     {Steady, (*Machine).assign},
-		mustHandOver:  {Releasing, (*Machine).release},
-		primarySilent: {Suspect, (*Machine).probe},
-		needsElection: {Electing, (*Machine).elect},
-		promotion:     {Electing, (*Machine).elect},
-		imbalance:     {Releasing, (*Machine).release},
-	},
-	Suspect: {
-		leaseFree:    {Steady, (*Machine).assign},
-		mustHandOver: {Releasing, (*Machine).release},
-		primaryBack:  {Steady, (*Machine).nothing},
-		otherReaches: {Releasing, (*Machine).release},
-		ownerCut:     {Releasing, (*Machine).releaseToElect},
-		allAgree:     {Electing, (*Machine).elect},
-		probeTimeout: {Suspect, (*Machine).probe},
-	},
-	Releasing: {
-		leaseFree: {Releasing, (*Machine).assign},
-	},
-	Electing: {
-		leaseFree:     {Electing, (*Machine).assign},
-		mustHandOver:  {Releasing, (*Machine).release},
-		elected:       {Electing, (*Machine).recordPrimary},
-		electionStuck: {Releasing, (*Machine).release},
-	},
+func mustFind(names []string) action {
+	if len(names) == 0 {
+		return nil
+	}
+	act, ok := actions()[names[0]]
+	if !ok || len(names) > 1 {
+		panic(fmt.Sprintf("chart service_failover: unknown actions %q", names))
+	}
+	return act
 }
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -129,7 +129,10 @@
 		if !ok || !m.holds(ev, &in) {
 			continue
 		}
-		actions := row.act(m, &in)
+		var actions []Action
+		if row.act != nil {
+			actions = row.act(m, &in)
+		}
 		m.enter(in.Now, row.next)
 		return actions
 	}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -42,6 +42,8 @@
 	active   int // transactions being placed or running
 	writers  int // transactions that hold or wait for the primary's connections
 	handover *statechart.Machine
+	slots    int                        // of each target, as in the catalog
+	conns    int                        // of each target, as in the catalog
 	selector map[string]labels.Selector // parsed selectors of rules
 	gen      context.Context            // ends when the primary changes or an election starts
 	genEnd   context.CancelFunc
@@ -141,8 +143,11 @@
 		}
 		view := s.group.Targets[info.Target]
 		view.Place, view.Labels, view.Leaving = info.Place, info.Labels, info.Leaving
-		s.gate.SetLane(info.Target, slots, conns)
+		if t == nil || slots != s.slots || conns != s.conns {
+			s.gate.SetLane(info.Target, slots, conns)
+		}
 	}
+	s.slots, s.conns = slots, conns
 	for name, t := range s.targets {
 		if !seen[name] {
 			s.removeTarget(t)
--- a/internal/owner/target.go
+++ b/internal/owner/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/citronrun/citronrun/internal/admission"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/routing"
 )
@@ -16,7 +17,26 @@
 	ctx   context.Context
 	end   context.CancelFunc
 	kick  chan struct{}
-	since time.Time // start of the loop
+	since time.Time     // start of the loop
+	delay time.Duration // round trip, guarded by s.mu; 0: not measured yet
+}
+
+// delayDecay is the part, 1 in so many, by which an old round trip grows with each sample, so that a
+// lasting change of the route is noticed. Single slow samples are not.
+const delayDecay = 50
+
+// noteDelay takes over a sample of the round trip and adapts the number of statements under way.
+func (s *service) noteDelay(name string, sample time.Duration) {
+	t := s.targets[name]
+	if t == nil {
+		return
+	}
+	if t.delay == 0 || sample < t.delay+t.delay/delayDecay {
+		t.delay = sample
+	} else {
+		t.delay += t.delay / delayDecay
+	}
+	s.gate.SetLane(name, admission.Width(s.slots, s.conns, t.delay, s.gate.Cost(name)), s.conns)
 }
 
 func (t *target) wake() {
@@ -128,6 +148,7 @@
 	if view == nil {
 		return
 	}
+	s.noteDelay(name, now.Sub(asked))
 	view.Answer(asked, now, st.Role, st.Term, st.Received, st.Applied, s.group.Samples)
 	s.electionAnswer(name, st)
 	current := name == s.primary && st.Role == routing.RolePrimary && st.Term == s.group.Term
--- a/internal/statechart/statechart.go
+++ b/internal/statechart/statechart.go
@@ -186,6 +186,16 @@
 	return nil
 }
 
+// Next returns the transition of a state on an event. ok is false when the state ignores or refuses
+// the event, or doesn't exist. The actions must not be modified.
+func (c *Chart) Next(state, event string) (next string, actions []string, ok bool) {
+	t, found := c.states[state].on[event]
+	if !found || t.ignored || t.refused {
+		return "", nil, false
+	}
+	return t.To, t.Actions, true
+}
+
 // New returns a machine in the chart's initial state.
 func (c *Chart) New() *Machine { return &Machine{chart: c, state: c.initial} }
 
