Let statements in a transaction block wait for a rate token

Cause: a team above its rate had blocks refused half-way, which wasted the tokens of their earlier statements: it got 0.78 to 0.80 of its own rate. Change: within a block a statement waits up to 1 s for a token. Also, purse is now holding in ratelimit.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -46,6 +46,7 @@
 	confirmed time.Duration
 	refuse    []error // Begin returns these first
 	tokens    int     // Take refuses at 0; negative: no limit
+	refused   func()  // called once, at the first refusal of a token
 	requests  []wire.TxRequest
 	canceled  []wire.Cancel
 
@@ -73,6 +74,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.tokens == 0 {
+		if f := o.refused; f != nil {
+			o.refused = nil
+			f()
+		}
 		return verdict.New(verdict.NotRun, verdict.CodeRateExceeded, "rate exceeded")
 	}
 	o.tokens--
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -99,6 +99,29 @@
 	fx.Equal(fx.owner.writes.Load(), int64(1))
 }
 
+// Guards against a block that fails, and wastes the tokens of its earlier statements, for want of a
+// token that comes a moment later.
+func TestBlockWaitsForToken(t *testing.T) {
+	fx := start(t, nil)
+	conn := fx.connect()
+	tx, err := conn.Begin(bg)
+	fx.NoErr(err)
+	asked := make(chan struct{})
+	fx.owner.mu.Lock()
+	fx.owner.tokens = 0
+	fx.owner.refused = func() { close(asked) }
+	fx.owner.mu.Unlock()
+	go func() {
+		<-asked
+		fx.owner.mu.Lock()
+		defer fx.owner.mu.Unlock()
+		fx.owner.tokens = 100
+	}()
+	_, err = tx.Exec(bg, "insert a")
+	fx.NoErr(err)
+	fx.NoErr(tx.Commit(bg))
+}
+
 // Guards against statements that run while the host's view of keys is outdated.
 func TestUnconfirmedHostRefuses(t *testing.T) {
 	fx := start(t, nil)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -333,8 +333,31 @@
 	TryTake(team string, tokens int) bool
 }
 
+const (
+	// blockTokenWait bounds the wait of a statement in a transaction block for a rate token. Refusing
+	// it at once would waste the tokens and the work of the block's earlier statements.
+	blockTokenWait  = time.Second
+	blockTokenPause = 50 * time.Millisecond
+)
+
+// take takes a rate token for a statement. In a block it waits for one while the team is over its
+// rate.
 func (c *caller) take() error {
 	c.srv.metrics.statements.Inc()
+	err := c.takeNow()
+	if err == nil || !c.inTransaction() {
+		return err
+	}
+	until := time.Now().Add(min(blockTokenWait, c.st.Timeout(c.srv.cfg.StatementTimeout)))
+	for verdict.As(err).Code == verdict.CodeRateExceeded && time.Now().Before(until) && pause(c.ctx, blockTokenPause) {
+		if err = c.takeNow(); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (c *caller) takeNow() error {
 	if d, ok := c.srv.cfg.Directory.(quickTaker); ok && d.TryTake(c.team, 1) {
 		return nil
 	}
--- a/internal/ratelimit/borrower.go
+++ b/internal/ratelimit/borrower.go
@@ -15,10 +15,10 @@
 
 // Borrower spends the lots of one host. It is not safe for concurrent use.
 type Borrower struct {
-	teams map[string]*purse
+	teams map[string]*holding
 }
 
-type purse struct {
+type holding struct {
 	lots     []heldLot
 	seen     uint64  // highest lot id received
 	reported uint64  // highest lot id reported to a leader
@@ -33,12 +33,12 @@
 }
 
 // NewBorrower returns a borrower without lots.
-func NewBorrower() *Borrower { return &Borrower{teams: map[string]*purse{}} }
+func NewBorrower() *Borrower { return &Borrower{teams: map[string]*holding{}} }
 
-func (b *Borrower) purse(team string) *purse {
+func (b *Borrower) holding(team string) *holding {
 	p := b.teams[team]
 	if p == nil {
-		p = &purse{}
+		p = &holding{}
 		b.teams[team] = p
 	}
 	return p
@@ -50,7 +50,7 @@
 	if lot.Tokens == 0 {
 		return
 	}
-	p := b.purse(lot.Team)
+	p := b.holding(lot.Team)
 	if lot.ID <= p.reported {
 		return
 	}
@@ -61,13 +61,13 @@
 
 // Has reports whether there are n tokens of unexpired lots. It counts no demand.
 func (b *Borrower) Has(now time.Time, team string, n uint64) bool {
-	return b.purse(team).left(now) >= n
+	return b.holding(team).left(now) >= n
 }
 
 // Take spends n tokens of unexpired lots. It reports whether there were enough; if not, it spends
 // none and counts n as unmet demand.
 func (b *Borrower) Take(now time.Time, team string, n uint64) bool {
-	p := b.purse(team)
+	p := b.holding(team)
 	p.used += float64(n)
 	if p.left(now) < n {
 		return false
@@ -86,12 +86,12 @@
 
 // Retry takes back the demand that a failed Take has counted, before the same request tries again.
 func (b *Borrower) Retry(team string, n uint64) {
-	p := b.purse(team)
+	p := b.holding(team)
 	p.used = max(0, p.used-float64(n))
 }
 
 // left removes expired lots and returns the tokens of the others.
-func (p *purse) left(now time.Time) uint64 {
+func (p *holding) left(now time.Time) uint64 {
 	total := uint64(0)
 	kept := p.lots[:0]
 	for _, lot := range p.lots {
@@ -107,7 +107,7 @@
 // Want returns how many tokens to ask for with Borrow when a request of n tokens finds too few: the
 // request and the estimate of what follows before the next renewal.
 func (b *Borrower) Want(team string, n uint64) uint64 {
-	p := b.purse(team)
+	p := b.holding(team)
 	return n + uint64(math.Ceil(max(p.estimate, p.used-float64(n))/2))
 }
 
@@ -144,7 +144,7 @@
 
 // HeldOf is Held for one team.
 func (b *Borrower) HeldOf(now time.Time, team string) wire.LotHeld {
-	p := b.purse(team)
+	p := b.holding(team)
 	p.reported = p.seen
 	p.dirty = false
 	return wire.LotHeld{ID: p.seen, Left: p.left(now)}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -103,7 +103,7 @@
 	h := rapid.SampledFrom(f.hosts).Draw(t, "host")
 	n := rapid.Uint64Range(1, 20).Draw(t, "n")
 	if rapid.Bool().Draw(t, "all") {
-		n = max(1, h.b.purse("t").left(f.local(h)))
+		n = max(1, h.b.holding("t").left(f.local(h)))
 	}
 	if h.b.Take(f.local(h), "t", n) {
 		f.spent = append(f.spent, spend{at: f.now, n: float64(n)})
