Treat a transaction that ends between two requests as lost

Cause: when an owner gave up a block in which no request was running (lease expired, primary changed, ownership ended), it sent an error and ReadyForQuery that answered nothing. The caller took the error for the answer to its next statement, and the entry host ran that statement in a transaction of its own: work of a block was committed alone. Ruled out: the stand-in (it commits a block as a whole) and the wait for a rate token (a test of it passes on the old code). Change: a response without a request ends the stream; the block counts as rolled back and further statements get 25P02. A statement whose block was lost after it had been read starts no transaction. Requests without their Sync are reported as lost even if all of them were answered.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -56,6 +56,7 @@
 	waiting   chan struct{} // receives one value for each "wait" that runs
 	release   chan struct{} // ends one "wait" for each value
 	ended     chan string   // how transactions ended, when not nil
+	last      net.Conn      // the owner's end of the latest stream
 }
 
 func (o *fakeOwner) Catalog() Snapshot {
@@ -102,6 +103,7 @@
 		return nil, err
 	}
 	near, far := net.Pipe()
+	o.last = far
 	t := &fakeTarget{owner: o, conn: far, status: pgwire.TxIdle, prepared: map[string]string{}, portals: map[string]string{}}
 	t.rd = pgwire.NewReader(io.MultiReader(bytes.NewReader(bytes.Clone(first)), far), pgwire.MaxFrameBytes)
 	go t.serve()
--- a/internal/entry/lost.go
+++ b/internal/entry/lost.go
@@ -41,7 +41,8 @@
 	if c.tx != tx {
 		return nil, false, false
 	}
-	running := c.tracker.Len() > 0 || c.pending > 0
+	// Requests without their Sync are lost too, even if all of them were answered.
+	running := c.tracker.Len() > 0 || c.pending > 0 || tx.unsynced
 	_, callerFailed := errors.AsType[errCaller](cause)
 	fatal = running && tx.partial || callerFailed
 	_ = level.Warn(c.srv.logger).Log("msg", "transaction lost", "service", c.service, "team", c.team, "running", running, "err", cause)
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"slices"
 	"sync"
@@ -50,13 +51,16 @@
 		}
 	}
 	if c.outstanding()+len(b.entries) > maxOutstanding && c.finishSent() {
-		return nil // the responder has reported the loss
+		return c.refuseLost(simple)
+	}
+	tx, gone := c.current()
+	if gone && len(b.frames) > 0 {
+		return c.refuseLost(simple)
 	}
-	c.mu.Lock()
-	tx := c.tx
-	c.mu.Unlock()
 	if tx != nil || len(b.frames) == 0 {
-		c.push(tx, ready)
+		if !c.push(tx, ready) {
+			return c.refuseLost(simple)
+		}
 		if tx != nil && len(b.frames) > 0 {
 			tx.write(b.frames)
 		}
@@ -78,6 +82,35 @@
 	return nil
 }
 
+// current returns the open transaction. Gone is set when the transaction that a request belongs to was
+// lost after the request had been read: it must not start a transaction of its own.
+func (c *caller) current() (tx *transaction, gone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gone = c.skipLost || c.st.State() == session.StateRolledBack
+	return c.tx, c.tx == nil && gone
+}
+
+// refuseLost refuses the batch because its transaction was lost meanwhile.
+func (c *caller) refuseLost(simple bool) error {
+	n := len(c.batch.entries)
+	endsBatch := n > 0 && c.batch.entries[n-1].request == pgwire.Sync
+	c.mu.Lock()
+	reported := c.skipLost || c.dead
+	if reported && endsBatch {
+		c.skipLost = false
+	}
+	c.mu.Unlock()
+	if !reported {
+		return c.refuse(failedTransaction(), simple)
+	}
+	c.batch.reset()
+	if endsBatch {
+		return c.answer(pgwire.AppendReady(nil, c.status()))
+	}
+	return nil // the loop skips the requests up to the Sync
+}
+
 // admitPrepare checks the key before messages that reach a target without running a statement.
 func (c *caller) admitPrepare() error {
 	if err := c.checkKey(); err != nil {
@@ -101,16 +134,20 @@
 	return c.flush()
 }
 
-// push records the batch's requests before their responses can arrive.
-func (c *caller) push(tx *transaction, ready int) {
+// push records the batch's requests before their responses can arrive. It returns false when the
+// transaction was lost meanwhile.
+func (c *caller) push(tx *transaction, ready int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b := &c.batch
+	if c.tx != tx {
+		return false
+	}
 	for _, e := range b.entries {
 		c.tracker.Push(e.request, e.action, e.text)
 	}
 	if tx == nil || len(b.frames) == 0 {
-		return
+		return true
 	}
 	c.fire(session.EventRequest)
 	if c.pending == 0 && !tx.unsynced {
@@ -125,6 +162,7 @@
 	if b.unnamed != nil || ready > 0 && b.entries[len(b.entries)-1].request == pgwire.Query {
 		tx.unnamed = b.unnamed
 	}
+	return true
 }
 
 // abort gives up the open transaction, which rolls it back.
@@ -146,15 +184,16 @@
 // transaction: the stream is closed, which rolls it back at the owner, and the caller gets 25P02
 // until it ends the block.
 func (c *caller) refuse(err error, simple bool) error {
-	c.batch.reset()
 	e := verdict.As(err)
 	if e.Code == verdict.CodeKeyWithdrawn {
+		c.batch.reset()
 		c.abort(session.EventRefused)
 		return e
 	}
 	if lost := c.finishSent(); lost {
-		return nil // the responder has reported the error; the loop takes note in awaitReady
+		return c.refuseLost(simple) // the responder has reported the error
 	}
+	c.batch.reset()
 	c.srv.metrics.refusal(e)
 	c.abort(session.EventRefused)
 	out := pgwire.AppendError(nil, e)
@@ -218,6 +257,9 @@
 func (c *caller) response(tx *transaction, f pgwire.Frame, last bool) (ended bool, err error) {
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
+	if c.unsolicited(tx, f) {
+		return false, errUnsolicited
+	}
 	pass, ok := c.track(tx, f)
 	if !ok {
 		return true, nil
@@ -243,6 +285,21 @@
 	return ended, nil
 }
 
+// errUnsolicited means that the owner ended a transaction in which no request was running.
+var errUnsolicited = errors.New("transaction ended by the owner between two requests")
+
+// unsolicited reports whether a frame answers no request. The caller would take it for the answer to
+// its next one, which would then run outside of the block.
+func (c *caller) unsolicited(tx *transaction, f pgwire.Frame) bool {
+	switch f.Type() {
+	case pgwire.ParameterStatus, pgwire.NoticeResponse, pgwire.NotificationResponse:
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tx == tx && c.tracker.Len() == 0 && c.pending == 0
+}
+
 // errCaller is a failure of the connection to the caller.
 type errCaller struct{ error }
 
