Wait for rate tokens while control elects a leader

Change: while the host was confirmed within the last 5 s, a request keeps asking until its own timeout. Conclusion: a refusal within the rate is avoided; a host that is cut off refuses keyed routes within the stated bound.

--- a/internal/agent/take.go
+++ b/internal/agent/take.go
@@ -18,7 +18,11 @@
 	// request to the leader for each statement that is refused.
 	borrowSpacing      = 10 * time.Millisecond
 	emptyBorrowSpacing = 100 * time.Millisecond
-	maxBorrowTries     = 4
+	// controlPatience is the time since the last confirmation up to which a request waits for tokens
+	// while no leader answers. An election and the search for the new leader fit in it.
+	controlPatience = 5 * time.Second
+	askAgain        = 20 * time.Millisecond
+	maxBorrowTries  = 4
 )
 
 // flight is one Borrow request, shared by the requests of a team that wait for its answer.
@@ -74,7 +78,10 @@
 			return unreachable(context.Cause(ctx))
 		}
 		if f.err != nil {
-			return unreachable(f.err)
+			if a.Confirmed() > controlPatience || !pause(ctx, askAgain) {
+				return unreachable(f.err)
+			}
+			continue
 		}
 		if a.spendAgain(team, n) {
 			return nil
