Print the status as tables

Cause: citronctl status printed one line of JSON. Change: tables of hosts and services; -json prints the JSON, indented. Conclusion: a test covers both outputs.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -147,12 +147,6 @@
 	}
 }
 
-var statusCommand = command{
-	name: "status", args: "", about: "Show the leader's view: members, hosts, services and their owners.",
-	example: "citronctl status",
-	setup:   noFlags(request(http.MethodGet, fixed("/v1/status"))),
-}
-
 var dumpCommand = command{
 	name: "dump", args: "", about: "Print the state of the process behind the first server.",
 	example: "citronctl dump -servers http://127.0.0.1:8432",
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -28,6 +28,7 @@
 	lose    int // answers still to be lost
 	sends   int
 	asked   []wire.AdminRequest
+	status  []byte // answer to AdminStatus
 }
 
 func (b *backend) Catalog() *catalog.Snapshot {
@@ -59,6 +60,9 @@
 }
 
 func (b *backend) Admin(_ context.Context, req wire.AdminRequest) (wire.AdminReply, error) {
+	if req.Op == wire.AdminStatus {
+		return wire.AdminReply{OK: true, Body: b.status}, nil
+	}
 	b.asked = append(b.asked, req)
 	return wire.AdminReply{OK: true, Message: "done"}, nil
 }
@@ -237,3 +241,21 @@
 		is.Equal(len(f.machine.Catalog().Services), 3)
 	}
 }
+
+// Guards against a status that an operator can't read at a glance, and against one that scripts can't.
+func TestStatusOutput(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil)
+	f.status = []byte(`{"leader": "c1", "consensus_term": 3, "catalog_revision": 7,
+		"hosts": {"e1": {"place": "p", "addr": "127.0.0.1:1", "entry": true, "services": 1}},
+		"services": {"visits": {"owner": "e1", "epoch": 2, "term": 4, "primary": "db-1", "phase": "steady",
+			"targets": {"db-1": {"received": {"term": 4, "offset": 9}, "applied": {"term": 4, "offset": 8}}}}}}`)
+	code, out, errs := f.run("", "status")
+	is.Equal(errs, "")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "leader c1, consensus term 3, configuration revision 7"))
+	is.True(strings.Contains(out, "db-1 4/9 (applied 4/8)"))
+	code, out, _ = f.run("", "status", "-json")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, `"catalog_revision": 7`))
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,76 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/citronrun/citronrun/internal/control"
+)
+
+var statusCommand = command{
+	name: "status", args: "", about: "Show the leader's view: members, hosts, services and their owners.",
+	example: "citronctl status",
+	setup: noFlags(func(ctx context.Context, e *env, args []string) error {
+		if len(args) > 0 {
+			return usagef("takes no arguments")
+		}
+		var answer json.RawMessage
+		if err := e.client.Do(ctx, http.MethodGet, "/v1/status", nil, &answer); err != nil {
+			return err
+		}
+		if e.json {
+			return e.printJSON(answer)
+		}
+		var st control.Status
+		if err := json.Unmarshal(answer, &st); err != nil {
+			return fmt.Errorf("decode status: %w", err)
+		}
+		return e.printStatus(st)
+	}),
+}
+
+// printStatus prints hosts and services as tables.
+func (e *env) printStatus(st control.Status) error {
+	fmt.Fprintf(e.out, "leader %s, consensus term %d, configuration revision %d\n\n", st.Leader, st.Term, st.Revision)
+	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "HOST\tPLACE\tADDRESS\tSERVICES\tREVISION\tSILENT\tSTATE")
+	for _, name := range sorted(st.Hosts) {
+		h := st.Hosts[name]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.1fs\t%s\n", name, h.Place, h.Addr, h.Services, h.Revision, h.Silent, hostState(h))
+	}
+	fmt.Fprintln(w, "\nSERVICE\tOWNER\tEPOCH\tTERM\tPRIMARY\tPHASE\tTARGETS")
+	for _, name := range sorted(st.Services) {
+		s := st.Services[name]
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\t%s\n", name, s.Owner, s.Epoch, s.Term, s.Primary, s.Phase, targets(s))
+	}
+	return w.Flush()
+}
+
+func hostState(h control.HostStatus) string {
+	switch {
+	case !h.Entry:
+		return "control"
+	case h.Draining:
+		return "draining"
+	default:
+		return "entry"
+	}
+}
+
+// targets lists a service's targets with the positions that they have received and applied.
+func targets(s control.ServiceStatus) string {
+	var parts []string
+	for _, name := range sorted(s.Targets) {
+		t := s.Targets[name]
+		part := fmt.Sprintf("%s %s (applied %s)", name, t.Received, t.Applied)
+		if t.Leaving {
+			part += " leaving"
+		}
+		parts = append(parts, part)
+	}
+	return strings.Join(parts, ", ")
+}
