--- a/internal/entry/lost.go
+++ b/internal/entry/lost.go
@@ -69,7 +69,7 @@
 	}
 	c.srv.metrics.refusal(err)
 	if fatal {
-		return appendFatal(nil, err)
+		return pgwire.AppendFatal(nil, err)
 	}
 	out := pgwire.AppendError(nil, err)
 	if c.pending > 0 {
--- a/internal/entry/out.go
+++ b/internal/entry/out.go
@@ -6,10 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"github.com/citronrun/citronrun/internal/pgwire"
-	"github.com/citronrun/citronrun/internal/verdict"
 )
 
 var outPool = sync.Pool{New: func() any {
@@ -83,28 +80,11 @@
 // fatal reports an error that ends the connection.
 func (c *caller) fatal(err error) {
 	c.srv.metrics.refusal(err)
-	if c.answer(appendFatal(nil, err)) == nil {
+	if c.answer(pgwire.AppendFatal(nil, err)) == nil {
 		linger(c.nc)
 	}
 }
 
-// appendFatal appends an ErrorResponse after which the connection is closed.
-func appendFatal(dst []byte, err error) []byte {
-	e := verdict.As(err)
-	msg := pgproto3.ErrorResponse{
-		Severity:            "FATAL",
-		SeverityUnlocalized: "FATAL",
-		Code:                e.Code,
-		Message:             e.Message,
-		Detail:              e.Detail(),
-	}
-	out, encodeErr := msg.Encode(dst)
-	if encodeErr != nil {
-		return dst // strings without limits can't fail to encode
-	}
-	return out
-}
-
 // linger ends the sending side and reads until the caller closes, within bounds. Closing at once
 // with unread input would send a reset, which can discard an error on its way.
 func linger(nc net.Conn) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/auth"
+	"github.com/citronrun/citronrun/internal/pgwire"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 	"github.com/citronrun/citronrun/internal/workers"
@@ -164,7 +165,7 @@
 func (s *Server) refuseConnection(nc net.Conn, err error) {
 	s.metrics.refusal(err)
 	_ = level.Info(s.logger).Log("msg", "connection refused", "remote", nc.RemoteAddr(), "err", err)
-	_, writeErr := nc.Write(appendFatal(nil, err))
+	_, writeErr := nc.Write(pgwire.AppendFatal(nil, err))
 	if writeErr == nil {
 		linger(nc)
 	}
--- a/internal/pgwire/types.go
+++ b/internal/pgwire/types.go
@@ -60,11 +60,16 @@
 )
 
 // AppendError appends an ErrorResponse for err to dst.
-func AppendError(dst []byte, err error) []byte {
+func AppendError(dst []byte, err error) []byte { return appendError(dst, "ERROR", err) }
+
+// AppendFatal appends an ErrorResponse to dst after which the connection is closed.
+func AppendFatal(dst []byte, err error) []byte { return appendError(dst, "FATAL", err) }
+
+func appendError(dst []byte, severity string, err error) []byte {
 	e := verdict.As(err)
 	msg := pgproto3.ErrorResponse{
-		Severity:            "ERROR",
-		SeverityUnlocalized: "ERROR",
+		Severity:            severity,
+		SeverityUnlocalized: severity,
 		Code:                e.Code,
 		Message:             e.Message,
 		Detail:              e.Detail(),
