Check that keys reach no target and no state dump

Cause: TestWithdrawnKey said that it guards against keys in targets and dumps but looked at errors only. Change: the demo targets of the tests record what they receive; the test searches these records and every part of the state dump for each key.

--- a/internal/daemon/demo.go
+++ b/internal/daemon/demo.go
@@ -51,6 +51,7 @@
 	groups     []*standin.Group
 	announcers []*standin.Announcer
 	keys       map[string]string // by team
+	audit      bool              // targets record what they receive, for tests
 }
 
 func newDemo(logger log.Logger) *demo {
@@ -207,6 +208,7 @@
 			MaxConns:    demoConnections,
 			ConnectTime: demoConnectTime,
 			ServiceTime: demoServiceTime,
+			Audit:       d.audit,
 		}})
 		if err != nil {
 			return err
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -35,6 +36,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	d := newDemo(log.NewNopLogger())
+	d.audit = true
 	t.Cleanup(func() {
 		cancel()
 		d.killAll()
@@ -151,6 +153,22 @@
 	other := d.connect(ctx, t, "inspectors", 1) // other teams go on
 	_, err = other.Exec(ctx, "SELECT count(*) FROM booking")
 	is.NoErr(err)
+	for _, key := range d.keys {
+		for _, e := range d.entries {
+			for _, dump := range e.stateParts() {
+				data, err := json.Marshal(dump())
+				is.NoErr(err)
+				is.True(!strings.Contains(string(data), key)) // state dump
+			}
+		}
+		for _, g := range d.groups {
+			for _, s := range g.Servers {
+				audit := fmt.Sprintf("%+v", s.Audit())
+				is.True(len(audit) > len("[]"))        // something was recorded
+				is.True(!strings.Contains(audit, key)) // target
+			}
+		}
+	}
 }
 
 // bookers insert bookings with unique ids through all hosts until stopped. It returns the ids that
