--- a/cmd/citrond/main.go
+++ b/cmd/citrond/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/citronrun/citronrun/internal/daemon"
 	"github.com/citronrun/citronrun/internal/settings"
+	"github.com/citronrun/citronrun/platform"
 )
 
 const (
@@ -29,12 +30,13 @@
 	fs := flag.NewFlagSet("citrond", flag.ContinueOnError)
 	fs.SetOutput(errs)
 	fs.Usage = func() {
-		fmt.Fprint(errs, "usage: citrond -config FILE [-check] | citrond -demo\n\nflags:\n")
+		fmt.Fprint(errs, "usage: citrond -config FILE [-check] | citrond -platform [-check] | citrond -demo\n\nflags:\n")
 		fs.PrintDefaults()
 	}
 	config := fs.String("config", "", "settings file, JSON with comments")
 	check := fs.Bool("check", false, "check the settings file and exit")
 	demo := fs.Bool("demo", false, "run a control host, three entry hosts and two services of stand-in targets on loopback")
+	onPlatform := fs.Bool("platform", false, "run with the settings file of the users' platform")
 	verbosity := fs.String("log-level", "info", "debug, info, warn or error")
 	if err := fs.Parse(args); err != nil {
 		if err == flag.ErrHelp {
@@ -42,7 +44,13 @@
 		}
 		return exitUsage
 	}
-	if fs.NArg() > 0 || (*config == "") != *demo || (*check && *demo) {
+	modes := 0
+	for _, chosen := range []bool{*config != "", *demo, *onPlatform} {
+		if chosen {
+			modes++
+		}
+	}
+	if fs.NArg() > 0 || modes != 1 || (*check && *demo) {
 		fs.Usage()
 		return exitUsage
 	}
@@ -51,18 +59,39 @@
 		fmt.Fprintf(errs, "citrond: -log-level: %v\n", err)
 		return exitUsage
 	}
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(errs))
+	logs := errs
+	if *onPlatform {
+		logs = out
+	}
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(logs))
 	logger = log.With(level.NewFilter(logger, level.Allow(allowed)), "ts", log.DefaultTimestampUTC)
 
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := serve(ctx, *config, *check, *demo, logger, out); err != nil {
+	if *onPlatform {
+		err = servePlatform(ctx, *check, logger, out)
+	} else {
+		err = serve(ctx, *config, *check, *demo, logger, out)
+	}
+	if err != nil {
 		fmt.Fprintf(errs, "citrond: %v\n", err)
 		return exitFailed
 	}
 	return exitOK
 }
 
+func servePlatform(ctx context.Context, check bool, logger log.Logger, out io.Writer) error {
+	file := platform.SettingsFile()
+	if check {
+		if err := platform.Check(file); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(out, "%s: settings are valid\n", file)
+		return err
+	}
+	return platform.Run(ctx, file, logger)
+}
+
 func serve(ctx context.Context, config string, check, demo bool, logger log.Logger, out io.Writer) error {
 	if demo {
 		return daemon.RunDemo(ctx, logger, out)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,6 +51,12 @@
 	report   func() []wire.ServiceReport
 	wake     chan struct{}
 
+	onTargets func([]TargetLease)
+	health    func() []wire.TargetHealth
+
+	targetRoutes atomic.Pointer[TargetTable]
+	targetLeases atomic.Pointer[map[string]TargetLease]
+
 	catalog   atomic.Pointer[catalog.Snapshot]
 	routes    atomic.Pointer[map[string]wire.Route]
 	leases    atomic.Pointer[map[string]lease.Held]
@@ -66,8 +72,11 @@
 	draining      bool
 	routesVersion uint64
 	leaderTerm    uint64
-	leaderAddr    string        // where the next request goes first
-	next          int           // index into Control for the search
+	leaderAddr    string   // where the next request goes first
+	next          int      // index into controls for the search
+	learned       []string // control hosts that the leader has named
+	sequence      uint64   // of the last renewal
+	targetView    targetState
 	progress      chan struct{} // closed and replaced after each answer to a renewal
 }
 
@@ -82,6 +91,9 @@
 		onRevoke:   func(string, uint64) {},
 		report:     func() []wire.ServiceReport { return nil },
 		wake:       make(chan struct{}, 1),
+		onTargets:  func([]TargetLease) {},
+		health:     func() []wire.TargetHealth { return nil },
+		targetView: targetState{held: map[string]*heldTarget{}, returned: map[string]uint64{}},
 		holder:     lease.NewHolder(),
 		grants:     map[string]wire.LeaseGrant{},
 		returns:    map[string]uint64{},
@@ -92,6 +104,8 @@
 	}
 	a.routes.Store(&map[string]wire.Route{})
 	a.leases.Store(&map[string]lease.Held{})
+	a.targetRoutes.Store(newTargetTable(nil))
+	a.targetLeases.Store(&map[string]TargetLease{})
 	c.Transport.Handle(wire.KindProbe, a.serveProbe)
 	c.Transport.Handle(wire.KindPoke, func(context.Context, string, transport.Stream) { a.Poke() })
 	return a
@@ -184,7 +198,7 @@
 	for {
 		a.mu.Lock()
 		progress := a.progress
-		done := told >= 2 && len(a.holder.Held()) == 0 && len(a.returns) == 0
+		done := told >= 2 && len(a.holder.Held()) == 0 && len(a.returns) == 0 && len(a.targetView.held) == 0
 		a.mu.Unlock()
 		if done {
 			return nil
--- a/internal/agent/ask.go
+++ b/internal/agent/ask.go
@@ -47,7 +47,7 @@
 		default:
 			return nil
 		}
-		if tries%(len(a.Control)+1) == 0 {
+		if tries%(len(a.Controls())+1) == 0 {
 			pause(ctx, askPause)
 		}
 	}
--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -48,7 +48,7 @@
 // renewOnce sends one renewal, to the presumed leader first and then to the other control hosts.
 func (a *Agent) renewOnce(ctx context.Context) {
 	demand := a.demand()
-	for range len(a.Control) + 1 {
+	for range len(a.Controls()) + 1 {
 		if ctx.Err() != nil {
 			return
 		}
@@ -80,7 +80,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.leaderAddr == "" {
-		a.leaderAddr = a.Control[a.next%len(a.Control)]
+		all := a.controls()
+		a.leaderAddr = all[a.next%len(all)]
 		a.next++
 	}
 	return a.leaderAddr
@@ -111,6 +112,7 @@
 
 func (a *Agent) request(demand map[string]uint64) *wire.Renew {
 	reports := a.report()
+	health := a.health()
 	now := a.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -129,7 +131,9 @@
 		Demand:          demand,
 		Reports:         reports,
 		LotsHeld:        a.borrower.Held(now),
+		Health:          health,
 	}
+	a.requestTargets(req, now)
 	for service, held := range a.holder.Held() {
 		req.Held = append(req.Held, wire.HeldLease{Service: service, Epoch: held.Epoch})
 	}
@@ -165,6 +169,11 @@
 	a.takeCatalog(reply)
 	a.takeRoutes(reply)
 	granted, revoked := a.takeLeases(sent, reply)
+	targetsChanged := a.takeTargets(sent, reply)
+	targets := a.leasesOfTargets()
+	if len(reply.Control) > 0 {
+		a.learned = reply.Control
+	}
 	for _, lot := range reply.Lots {
 		a.borrower.Add(sent, lot)
 	}
@@ -179,6 +188,9 @@
 	for _, g := range granted {
 		a.onGrant(g)
 	}
+	if targetsChanged {
+		a.onTargets(targets)
+	}
 }
 
 // takeCatalog replaces the catalog by a later one.
--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -54,6 +54,9 @@
 // Apply decides on a change. A change with a known id gets its first result again. A refused change
 // leaves the catalog as it was.
 func (m *Machine) Apply(c Change) Result {
+	if c.Deployment != nil {
+		return m.deploy(c.Deployment)
+	}
 	sum := c.digest()
 	if a, ok := m.answered[c.ID]; ok {
 		if a.Digest != sum {
@@ -68,6 +71,22 @@
 	return r
 }
 
+// deploy puts the deployment with the highest version in force. A lower version, and the current one
+// with other content, are accepted without effect.
+func (m *Machine) deploy(d *Deployment) Result {
+	if err := d.Check(); err != nil {
+		return m.invalid("deployment", err.Error())
+	}
+	if old := m.catalog.Deployment; old != nil && d.Version <= old.Version {
+		return Result{Code: CodeAccepted, Revision: m.catalog.Revision}
+	}
+	next := m.catalog.clone()
+	next.Deployment = d
+	next.Revision++
+	m.catalog = next
+	return Result{Code: CodeAccepted, Revision: next.Revision}
+}
+
 func (m *Machine) decide(c Change) Result {
 	if c.ID == "" {
 		return m.invalid("id", "is empty")
@@ -162,5 +181,7 @@
 		Services: maps.Clone(c.Services),
 		Targets:  maps.Clone(c.Targets),
 		Policies: maps.Clone(c.Policies),
+
+		Deployment: c.Deployment,
 	}
 }
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -24,6 +24,7 @@
 	catalog  Catalog
 	policies []compiledPolicy // highest priority first
 	rules    sync.Map         // ruleKey to Rule
+	index    *Index           // of the deployment
 }
 
 type compiledPolicy struct {
@@ -43,7 +44,7 @@
 		byPriority := cmp.Compare(c.Policies[b].Priority, c.Policies[a].Priority)
 		return cmp.Or(byPriority, cmp.Compare(a, b))
 	})
-	s := &Snapshot{catalog: c}
+	s := &Snapshot{catalog: c, index: NewIndex(c.Deployment)}
 	for _, name := range names {
 		p, err := compile(c.Policies[name])
 		if err != nil {
@@ -84,6 +85,9 @@
 // Revision returns the catalog's revision.
 func (s *Snapshot) Revision() uint64 { return s.catalog.Revision }
 
+// Deployment returns the index of the deployment, which may be empty.
+func (s *Snapshot) Deployment() *Index { return s.index }
+
 // Team returns a team by name.
 func (s *Snapshot) Team(name string) (Team, bool) {
 	t, ok := s.catalog.Teams[name]
@@ -155,6 +159,9 @@
 // Limit returns a team's rate in statements/s and its burst in statements, over the whole fleet.
 // Only the teams' selectors of policies count here, since one rate covers all services.
 func (s *Snapshot) Limit(team string) (rate, burst float64) {
+	if t, ok := s.index.Team(team); ok {
+		return t.Rate, t.Burst
+	}
 	set := labels.Set(s.catalog.Teams[team].Labels)
 	for _, p := range s.policies {
 		if p.Rate > 0 && p.teams.Matches(set) {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -19,6 +19,8 @@
 	Services map[string]Service `cbor:"3,keyasint" json:"services"`
 	Targets  map[string]Target  `cbor:"4,keyasint" json:"targets"`
 	Policies map[string]Policy  `cbor:"5,keyasint" json:"policies"`
+	// Deployment is the configuration that has a version of its own; nil: none.
+	Deployment *Deployment `cbor:"6,keyasint,omitempty" json:"deployment,omitempty"`
 }
 
 // Team is a customer.
@@ -104,6 +106,9 @@
 	Ops      []Op   `cbor:"3,keyasint" json:"ops"`            // at least one
 	Operator string `cbor:"4,keyasint" json:"operator"`       // for the log
 	Note     string `cbor:"5,keyasint" json:"note,omitempty"` // free text
+	// Deployment replaces the deployment if its version is higher than the one in force. ID, Base and
+	// Ops don't apply then: the version decides, and a resend is accepted without effect.
+	Deployment *Deployment `cbor:"6,keyasint,omitempty" json:"-"`
 }
 
 // Op is one operation; exactly one field is set.
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -4,6 +4,8 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock reads the current time. Values carry the monotonic clock reading, so that differences are
@@ -18,6 +20,19 @@
 // Now returns time.Now().
 func (System) Now() time.Time { return time.Now() }
 
+// Boot is the time since the machine's start. Unlike System it goes on while the machine is suspended, so
+// that leases end in time. Its values have no relation to the time of day.
+type Boot struct{}
+
+// Now returns the time since the start of the machine, as a time after the Unix epoch.
+func (Boot) Now() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Now() // Linux has had this clock since 2.6.39
+	}
+	return time.Unix(ts.Sec, ts.Nsec)
+}
+
 // Fake is a clock that moves only when told to. It is safe for concurrent use.
 type Fake struct {
 	mu  sync.Mutex
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -45,6 +45,15 @@
 	}
 }
 
+// Silence returns the ticks since a member last replied to this leader. It is 0 for the leader itself, for
+// members that aren't known, and on a follower.
+func (n *Node) Silence(id uint64) int {
+	if pr := n.progress[id]; pr != nil && id != n.id {
+		return pr.silent
+	}
+	return 0
+}
+
 // hasContact reports whether a quorum of the voters in members replied less than limit ticks ago.
 func (n *Node) hasContact(members []Member, limit int) bool {
 	voters, reached := 0, 0
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// MaxEntryBytes bounds the data of one entry.
-	MaxEntryBytes = 256 << 10
+	// MaxEntryBytes bounds the data of one entry. It leaves room for a deployment of some thousand routes.
+	MaxEntryBytes = 1 << 20
 	// MaxAppendBytes bounds the data of all entries in one message or one Ready, except that a
 	// single entry is always allowed.
 	MaxAppendBytes = 512 << 10
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -19,6 +19,11 @@
 	Record  *record         `cbor:"5,keyasint,omitempty"`
 	Join    *join           `cbor:"6,keyasint,omitempty"`
 	Forget  *forget         `cbor:"7,keyasint,omitempty"`
+
+	Register   *register   `cbor:"8,keyasint,omitempty"`
+	Unregister *unregister `cbor:"9,keyasint,omitempty"`
+	Order      *order      `cbor:"10,keyasint,omitempty"`
+	Outcome    *outcome    `cbor:"11,keyasint,omitempty"`
 }
 
 // barrier is the first command of a leader. It must be applied before the leader acts. Afterwards
@@ -113,6 +118,14 @@
 		return m.join(c.Join)
 	case c.Forget != nil:
 		return m.forget(c.Forget)
+	case c.Register != nil:
+		return m.register(c.Register)
+	case c.Unregister != nil:
+		return m.unregister(c.Unregister)
+	case c.Order != nil:
+		return m.order(c.Order)
+	case c.Outcome != nil:
+		return m.outcome(c.Outcome)
 	default:
 		return errors.New("command is empty or of a newer version")
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -7,6 +7,7 @@
 
 	"github.com/citronrun/citronrun/internal/failover"
 	"github.com/citronrun/citronrun/internal/lease"
+	"github.com/citronrun/citronrun/internal/placement"
 	"github.com/citronrun/citronrun/internal/ratelimit"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -37,6 +38,13 @@
 	cached   []failover.Host // answer of alive, as of cachedAt
 	cachedAt time.Time
 
+	seats      *placement.Table
+	registered map[string]*registered // targets that have registered at this leader
+	groups     map[string]*group      // by service
+	avoided    map[avoidance]time.Time
+	routes     []wire.TargetRoute // as of routesVersion
+	version    uint64             // of routes
+
 	owned       map[string][]string // services by owner, as of ownedRoutes
 	ownedRoutes uint64
 	ownedValid  bool
@@ -52,6 +60,7 @@
 	since    time.Time // first renewal of this process
 	seen     time.Time
 	revision uint64
+	sequence uint64 // of the latest renewal
 }
 
 // service is the volatile state of a service.
@@ -77,6 +86,11 @@
 		services: map[string]*service{},
 		targets:  map[string]announced{},
 		drains:   map[string]string{},
+
+		seats:      placement.NewTable(since, term),
+		registered: map[string]*registered{},
+		groups:     map[string]*group{},
+		avoided:    map[avoidance]time.Time{},
 	}
 }
 
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -48,6 +48,7 @@
 	config     Configuration
 	decode     DecodeFunc
 	services   map[string]*Service
+	groups     map[string]*Group // by service
 	leaderTerm uint64
 	routes     uint64 // log index of the last change of any owner
 	view       View
@@ -56,12 +57,12 @@
 // View is an immutable copy of the catalog.
 type View struct {
 	Catalog catalog.Catalog
-	Encoded []byte // CBOR of Catalog
+	Encoded []byte // CBOR of Catalog as hosts get it
 }
 
 // NewMachine returns an empty machine around an empty configuration.
 func NewMachine(config Configuration, decode DecodeFunc) (*Machine, error) {
-	m := &Machine{config: config, decode: decode, services: map[string]*Service{}}
+	m := &Machine{config: config, decode: decode, services: map[string]*Service{}, groups: map[string]*Group{}}
 	if err := m.refresh(); err != nil {
 		return nil, err
 	}
@@ -70,14 +71,23 @@
 
 // refresh copies the catalog, so that readers never see maps that a later change modifies.
 func (m *Machine) refresh() error {
-	encoded, err := wire.Marshal(m.config.Catalog())
+	c := m.config.Catalog()
+	whole, err := wire.Marshal(c)
 	if err != nil {
 		return fmt.Errorf("encode catalog: %w", err)
 	}
-	view := View{Encoded: encoded}
-	if err := wire.Unmarshal(encoded, &view.Catalog); err != nil {
+	var view View
+	if err := wire.Unmarshal(whole, &view.Catalog); err != nil {
 		return fmt.Errorf("copy catalog: %w", err)
 	}
+	if c.Deployment != nil {
+		lean := *c.Deployment
+		lean.Source = nil // hosts need no document to read back
+		c.Deployment = &lean
+	}
+	if view.Encoded, err = wire.Marshal(c); err != nil {
+		return fmt.Errorf("encode catalog for hosts: %w", err)
+	}
 	m.view = view
 	return nil
 }
@@ -160,6 +170,7 @@
 	Services   map[string]*Service `cbor:"2,keyasint"`
 	LeaderTerm uint64              `cbor:"3,keyasint"`
 	Routes     uint64              `cbor:"4,keyasint"`
+	Groups     map[string]*Group   `cbor:"5,keyasint"`
 }
 
 // Snapshot encodes the whole state as CBOR.
@@ -170,7 +181,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode catalog: %w", err)
 	}
-	return wire.Marshal(snapshot{Config: config, Services: m.services, LeaderTerm: m.leaderTerm, Routes: m.routes})
+	return wire.Marshal(snapshot{
+		Config: config, Services: m.services, Groups: m.groups, LeaderTerm: m.leaderTerm, Routes: m.routes,
+	})
 }
 
 // Restore replaces the whole state by an encoded one.
@@ -190,6 +203,10 @@
 	if m.services == nil {
 		m.services = map[string]*Service{}
 	}
+	m.groups = s.Groups
+	if m.groups == nil {
+		m.groups = map[string]*Group{}
+	}
 	m.leaderTerm = s.LeaderTerm
 	m.routes = s.Routes
 	return m.refresh()
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -34,6 +34,7 @@
 	s.addRoutes(reply, req)
 	s.addGrants(lead, now, reply, req)
 	s.addLots(lead, now, reply, req)
+	s.addTargets(lead, now, reply, req)
 	return reply, nil
 }
 
@@ -178,6 +179,11 @@
 		rate, burst := s.Limits(&view.Catalog, team)
 		lead.keeper.SetRate(now, team, rate, burst)
 	}
+	if d := view.Catalog.Deployment; d != nil {
+		for _, team := range d.Teams {
+			lead.keeper.SetRate(now, team.Name, team.Rate, team.Burst)
+		}
+	}
 	rate, burst := s.Limits(&view.Catalog, catalog.OpenTeam)
 	lead.keeper.SetRate(now, catalog.OpenTeam, rate, burst)
 	lead.limits = true
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -20,6 +20,11 @@
 	if err := wire.Unmarshal(req.Change, &change); err != nil {
 		return nil, fmt.Errorf("decode change: %w", err)
 	}
+	if s.MayAccept != nil {
+		if err := s.MayAccept(); err != nil {
+			return &wire.ChangeReply{Message: err.Error()}, nil
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	result, err := s.proposeAny(ctx, command{Change: &change})
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -64,6 +64,17 @@
 	// Limits returns the rate in tokens/s and burst in tokens of a team. Without it every team has
 	// the catalog's defaults.
 	Limits func(c *catalog.Catalog, team string) (rate, burst float64)
+	// Targets reaches the targets of deployed services. Without it there are no deployments.
+	Targets TargetControl
+	// Controls returns the addresses of the control hosts, which hosts learn with each renewal. It may
+	// be nil.
+	Controls func() []string
+	// MayAccept returns an error while a change of the configuration must not be accepted, because too
+	// few control hosts would remember it. It may be nil.
+	MayAccept func() error
+	// DrainTime is how long a target that leaves may get new work after it said so; 0:
+	// DefaultDrainTime.
+	DrainTime time.Duration
 }
 
 // Server answers hosts while its member leads, and refers them to the leader otherwise.
@@ -91,6 +102,9 @@
 			return catalog.DefaultRate, catalog.DefaultBurst
 		}
 	}
+	if c.DrainTime <= 0 {
+		c.DrainTime = DefaultDrainTime
+	}
 	c.Logger = log.With(c.Logger, "part", "control")
 	s := &Server{Config: c}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -100,6 +114,8 @@
 	s.Transport.Handle(wire.KindChange, serve(s, s.change))
 	s.Transport.Handle(wire.KindAnnounce, serve(s, s.announce))
 	s.Transport.Handle(wire.KindAdmin, serve(s, s.admin))
+	s.Transport.Handle(wire.KindRegister, serve(s, s.registerTarget))
+	s.Transport.Handle(wire.KindDeployment, serve(s, s.deployment))
 	return s
 }
 
@@ -138,6 +154,7 @@
 		case <-ticker.C:
 			s.follow()
 			s.stepAll()
+			s.stepTargets()
 		}
 	}
 }
--- /dev/null
+++ b/internal/control/targets.go
@@ -0,0 +1,429 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/failover"
+	"github.com/citronrun/citronrun/internal/placement"
+	"github.com/citronrun/citronrun/internal/promotion"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+const (
+	// DefaultDrainTime is how long a target that leaves may get new work.
+	DefaultDrainTime = 4 * time.Second
+	// registrationLapse is the silence of a target, in registrations and at its holder, after which it
+	// is no longer a member of its group. Until then it counts among the replicas that may hold a commit.
+	registrationLapse = 8 * time.Second
+	// spareConnections of each target are left to the leader's own questions.
+	spareConnections = 1
+	// avoidTime is how long a host that doesn't reach a target gets no lease of it.
+	avoidTime = 8 * time.Second
+	// healthFreshness is how long a holder's report about a target counts.
+	healthFreshness = 1500 * time.Millisecond
+	// Bounds of silence and of stuck commits at a primary before it is replaced.
+	silenceBound = 700 * time.Millisecond
+	stuckBound   = 1200 * time.Millisecond
+	// firstPrimaryTime is the time for targets of a new group to say which of them is the primary.
+	firstPrimaryTime = 3 * time.Second
+)
+
+// registered is a target as it describes itself.
+type registered struct {
+	wire.Registration
+	seen    time.Time
+	leaving time.Time // when it first said so; zero: it stays
+}
+
+// avoidance is a host that doesn't reach a target.
+type avoidance struct{ host, target string }
+
+// group is the volatile state of a deployed service.
+type group struct {
+	promotion *promotion.Machine
+	since     time.Time
+	busy      bool // an action is under way
+	health    map[string]targetHealth
+}
+
+// targetHealth is a holder's report about a target.
+type targetHealth struct {
+	wire.TargetHealth
+	at time.Time
+}
+
+func (l *leader) group(now time.Time, service string) *group {
+	g := l.groups[service]
+	if g == nil {
+		g = &group{promotion: promotion.New(), since: now, health: map[string]targetHealth{}}
+		l.groups[service] = g
+	}
+	return g
+}
+
+// avoids reports whether a host is known not to reach a target.
+func (l *leader) avoids(now time.Time, host, target string) bool {
+	until, ok := l.avoided[avoidance{host, target}]
+	return ok && now.Before(until)
+}
+
+// leavingSince returns when a registered target said that it leaves, or the zero time.
+func (l *leader) leavingSince(target string) time.Time {
+	if r := l.registered[target]; r != nil {
+		return r.leaving
+	}
+	return time.Time{}
+}
+
+var errUnknownTarget = errors.New("the registration names no deployed service")
+
+// registerTarget notes what a target says of itself. Registrations that arrive late are acknowledged
+// without effect. An answer about a target that leaves is given by a confirmed leader only, since no
+// new work may reach the target some time after it.
+func (s *Server) registerTarget(ctx context.Context, _ string, req *wire.Registration) (*wire.RegistrationReply, error) {
+	refer := &wire.RegistrationReply{NotLeader: true, LeaderAddr: s.Log.LeaderAddr()}
+	lead := s.leading()
+	if lead != nil && (req.Leaving || req.Gone) {
+		lead = s.confirmed(ctx)
+	}
+	if lead == nil {
+		return refer, nil
+	}
+	if req.Gone {
+		return s.targetGone(ctx, lead, req)
+	}
+	view := s.Machine.Catalog()
+	if !deployed(view.Catalog.Deployment, req.Service) {
+		return &wire.RegistrationReply{Message: errUnknownTarget.Error()}, nil
+	}
+	member := GroupMember{Addr: req.Addr, Place: req.Place, Slots: req.Slots, Born: req.Born}
+	if known, ok := s.Machine.Group(req.Service).Members[req.Target]; !ok || known != member {
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		c := command{Register: &register{Service: req.Service, Target: req.Target, Member: member}}
+		if err := s.propose(ctx, c); err != nil {
+			_ = level.Info(s.Logger).Log("msg", "registration not recorded", "service", req.Service, "target", req.Target, "err", err)
+			return &wire.RegistrationReply{OK: errors.Is(err, errNewer), Message: err.Error()}, nil
+		}
+		_ = level.Info(s.Logger).Log("msg", "target registered", "service", req.Service, "target", req.Target,
+			"addr", req.Addr, "place", req.Place, "born", req.Born, "primary", req.Primary)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lead != lead {
+		return refer, nil
+	}
+	s.noteRegistration(lead, s.Clock.Now(), req)
+	return &wire.RegistrationReply{OK: true}, nil
+}
+
+func deployed(d *catalog.Deployment, service string) bool {
+	if d == nil {
+		return false
+	}
+	return slices.ContainsFunc(d.Services, func(s catalog.RoutedService) bool { return s.Name == service })
+}
+
+// noteRegistration keeps the latest registration of the latest process of a target.
+func (s *Server) noteRegistration(lead *leader, now time.Time, req *wire.Registration) {
+	old := lead.registered[req.Target]
+	if old != nil && (old.Born > req.Born || old.Born == req.Born && old.Sequence >= req.Sequence) {
+		return
+	}
+	r := &registered{Registration: *req, seen: now}
+	if req.Leaving {
+		r.leaving = now
+		if old != nil && old.Born == req.Born && !old.leaving.IsZero() {
+			r.leaving = old.leaving
+		}
+	}
+	lead.registered[req.Target] = r
+	if old == nil || old.Leaving != req.Leaving || old.Primary != req.Primary || old.Born != req.Born {
+		_ = level.Info(s.Logger).Log("msg", "target state changed", "service", req.Service, "target", req.Target,
+			"leaving", req.Leaving, "primary", req.Primary, "born", req.Born, "sequence", req.Sequence)
+		s.stepService(lead, now, req.Service)
+		s.pokeHolders(lead)
+	}
+}
+
+func (s *Server) targetGone(ctx context.Context, lead *leader, req *wire.Registration) (*wire.RegistrationReply, error) {
+	s.mu.Lock()
+	r := lead.registered[req.Target]
+	s.mu.Unlock()
+	if r == nil {
+		return &wire.RegistrationReply{OK: true}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	c := command{Unregister: &unregister{Service: r.Service, Target: r.Target, Born: r.Born}}
+	if err := s.propose(ctx, c); err != nil && !errors.Is(err, errMember) {
+		return &wire.RegistrationReply{Message: err.Error()}, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if lead.registered[req.Target] == r {
+		delete(lead.registered, req.Target)
+	}
+	_ = level.Info(s.Logger).Log("msg", "target gone", "service", r.Service, "target", r.Target, "born", r.Born)
+	return &wire.RegistrationReply{OK: true}, nil
+}
+
+// deployment answers with the newest deployment, after a quorum has confirmed that it is the newest.
+func (s *Server) deployment(ctx context.Context, _ string, _ *wire.DeploymentQuery) (*wire.DeploymentReply, error) {
+	if s.confirmed(ctx) == nil {
+		return &wire.DeploymentReply{NotLeader: true, LeaderAddr: s.Log.LeaderAddr()}, nil
+	}
+	d := s.Machine.Catalog().Catalog.Deployment
+	if d == nil {
+		return &wire.DeploymentReply{}, nil
+	}
+	return &wire.DeploymentReply{Version: d.Version, Source: d.Source}, nil
+}
+
+// addTargets answers the part of a renewal that is about targets.
+func (s *Server) addTargets(lead *leader, now time.Time, reply *wire.RenewReply, req *wire.Renew) {
+	if s.Controls != nil {
+		reply.Control = s.Controls()
+	}
+	if s.Targets == nil {
+		return
+	}
+	h := lead.hosts[req.Host]
+	if req.Sequence <= h.sequence {
+		return // overtaken by a later renewal: what it claims is outdated
+	}
+	h.sequence = req.Sequence
+	lead.seats.Claim(now, req.Host, req.BootID, req.Targets)
+	s.noteHealth(lead, now, req)
+	s.placeTargets(lead, now)
+	s.grantTargets(lead, now, reply, req)
+	s.addTargetRoutes(lead, reply, req)
+}
+
+func (s *Server) noteHealth(lead *leader, now time.Time, req *wire.Renew) {
+	well := map[string]bool{}
+	for _, held := range req.Targets {
+		well[held.Target] = true
+	}
+	for _, health := range req.Health {
+		delete(well, health.Target)
+		if r := lead.seats.Seat(health.Target); r == nil || r.Host != req.Host || r.Boot != req.BootID {
+			continue
+		}
+		if g := lead.groups[s.serviceOfTarget(health.Target)]; g != nil {
+			g.health[health.Target] = targetHealth{TargetHealth: health, at: now}
+		}
+	}
+	for target := range well {
+		if g := lead.groups[s.serviceOfTarget(target)]; g != nil {
+			delete(g.health, target)
+		}
+	}
+}
+
+// serviceOfTarget returns the service that a target is registered for, or "".
+func (s *Server) serviceOfTarget(target string) string {
+	for _, service := range s.Machine.Groups() {
+		if _, ok := s.Machine.Group(service).Members[target]; ok {
+			return service
+		}
+	}
+	return ""
+}
+
+// grantTargets renews the leases of the host's seats.
+func (s *Server) grantTargets(lead *leader, now time.Time, reply *wire.RenewReply, req *wire.Renew) {
+	d := s.Machine.Catalog().Catalog.Deployment
+	if d == nil {
+		return
+	}
+	for i := range d.Services {
+		service := &d.Services[i]
+		state := s.Machine.Group(service.Name)
+		g := lead.group(now, service.Name)
+		for target, member := range state.Members {
+			primary := state.Primary == target && state.Candidate == "" && g.promotion.Serving()
+			epoch, ok := lead.seats.Renew(now, target, req.Host, req.BootID, primary)
+			if !ok {
+				continue
+			}
+			reply.TargetGrants = append(reply.TargetGrants, wire.TargetGrant{
+				Target: target, Epoch: epoch, Service: service.Name, Addr: member.Addr, Slots: max(member.Slots, 1),
+				Connections: max(service.Connections-spareConnections, 1), Primary: primary, Term: state.Token,
+			})
+		}
+	}
+}
+
+func (s *Server) addTargetRoutes(lead *leader, reply *wire.RenewReply, req *wire.Renew) {
+	s.updateRoutes(lead, s.Clock.Now())
+	reply.TargetsVersion = lead.version
+	if req.TargetsVersion == lead.version && req.LeaderTerm == lead.term {
+		return
+	}
+	reply.TargetsFull = true
+	reply.TargetRoutes = lead.routes
+}
+
+// updateRoutes builds the routes to all targets, and gives them a new version if they have changed.
+func (s *Server) updateRoutes(lead *leader, now time.Time) {
+	var routes []wire.TargetRoute
+	for _, service := range s.Machine.Groups() {
+		state := s.Machine.Group(service)
+		g := lead.group(now, service)
+		for target, member := range state.Members {
+			r := wire.TargetRoute{Target: target, Service: service, Place: member.Place}
+			r.Leaving = !lead.leavingSince(target).IsZero()
+			r.Primary = state.Primary == target && state.Candidate == "" && g.promotion.Serving()
+			if seat := lead.seats.Seat(target); seat != nil && !seat.Releasing() {
+				if h := lead.hosts[seat.Host]; h != nil && h.boot == seat.Boot {
+					r.Holder, r.Addr = seat.Host, h.addr
+				}
+			}
+			routes = append(routes, r)
+		}
+	}
+	slices.SortFunc(routes, func(a, b wire.TargetRoute) int { return strings.Compare(a.Target, b.Target) })
+	if lead.version > 0 && slices.Equal(routes, lead.routes) {
+		return
+	}
+	lead.routes = routes
+	lead.version++
+}
+
+// stepTargets places targets and takes the decisions about promotions.
+func (s *Server) stepTargets() {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lead := s.lead
+	if s.Targets == nil || lead == nil || !lead.ready {
+		return
+	}
+	s.placeTargets(lead, now)
+	for _, service := range s.Machine.Groups() {
+		s.stepService(lead, now, service)
+		s.forgetLapsed(lead, now, service)
+	}
+}
+
+// placeTargets gives targets without a holder to hosts, and releases those that should move.
+func (s *Server) placeTargets(lead *leader, now time.Time) {
+	hosts := lead.seatHosts(now)
+	if len(hosts) == 0 || now.Sub(lead.readyAt) < hearHosts {
+		return
+	}
+	d := s.Machine.Catalog().Catalog.Deployment
+	for _, service := range s.Machine.Groups() {
+		state := s.Machine.Group(service)
+		for target, member := range state.Members {
+			if !deployed(d, service) || s.drained(lead, now, target) {
+				lead.seats.Release(target)
+			} else {
+				s.placeTarget(lead, now, hosts, target, member)
+			}
+			lead.seats.Free(now, target)
+		}
+	}
+}
+
+// drained reports whether a target that leaves may get no new work any more.
+func (s *Server) drained(lead *leader, now time.Time, target string) bool {
+	since := lead.leavingSince(target)
+	return !since.IsZero() && now.Sub(since) >= s.DrainTime
+}
+
+func (s *Server) placeTarget(lead *leader, now time.Time, hosts []placement.Host, target string, member GroupMember) {
+	avoid := func(host string) bool { return lead.avoids(now, host, target) }
+	if seat := lead.seats.Seat(target); seat != nil && now.Before(lead.seats.End(target)) {
+		if seat.Releasing() {
+			return
+		}
+		draining := slices.ContainsFunc(hosts, func(h placement.Host) bool {
+			return h.Name == seat.Host && h.Boot == seat.Boot && h.Draining
+		})
+		if draining && placement.Choose(hosts, member.Place, avoid) != nil || avoid(seat.Host) || placement.Better(now, hosts, seat.Host, member.Place, avoid) {
+			_ = level.Info(s.Logger).Log("msg", "target lease not renewed", "target", target, "holder", seat.Host,
+				"epoch", seat.Epoch, "draining", draining, "cut", avoid(seat.Host))
+			lead.seats.Release(target)
+			s.poke(lead, seat.Host)
+		}
+		return
+	}
+	if !lead.seats.Free(now, target) {
+		return
+	}
+	h := placement.Choose(hosts, member.Place, avoid)
+	if h == nil {
+		return
+	}
+	h.Seats++
+	lead.seats.Assign(now, target, h.Name, h.Boot)
+	_ = level.Info(s.Logger).Log("msg", "target lease assigned", "target", target, "holder", h.Name, "place", member.Place)
+	s.poke(lead, h.Name)
+}
+
+// seatHosts returns the hosts that may hold target leases.
+func (l *leader) seatHosts(now time.Time) []placement.Host {
+	var hosts []placement.Host
+	for name, h := range l.hosts {
+		if !h.entry || now.Sub(h.seen) > failover.HostSilence {
+			continue
+		}
+		hosts = append(hosts, placement.Host{
+			Name: name, Boot: h.boot, Place: h.place, Since: h.since, Seats: l.seats.Count(name),
+			Draining: h.draining || l.drains[name] == h.boot,
+		})
+	}
+	slices.SortFunc(hosts, func(a, b placement.Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts
+}
+
+// forgetLapsed removes replicas that nobody has heard from for long, while the primary is well: by
+// then the other replicas have received what it may have held.
+func (s *Server) forgetLapsed(lead *leader, now time.Time, service string) {
+	state := s.Machine.Group(service)
+	g := lead.group(now, service)
+	if g.promotion.State() != "steady" || !lead.heard(now, state.Primary) {
+		return
+	}
+	for target, member := range state.Members {
+		if target == state.Primary || lead.heard(now, target) {
+			continue
+		}
+		if health, ok := g.health[target]; !ok || health.Silent < registrationLapse {
+			continue
+		}
+		c := command{Unregister: &unregister{Service: service, Target: target, Born: member.Born}}
+		s.background(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+			defer cancel()
+			err := s.propose(ctx, c)
+			_ = level.Info(s.Logger).Log("msg", "silent target removed", "service", service, "target", target, "err", err)
+		})
+	}
+}
+
+// heard reports whether a target has registered within registrationLapse.
+func (l *leader) heard(now time.Time, target string) bool {
+	if r := l.registered[target]; r != nil {
+		return now.Sub(r.seen) < registrationLapse
+	}
+	return now.Sub(l.since) < registrationLapse
+}
+
+// pokeHolders lets all hosts learn of changed routes and leases at once.
+func (s *Server) pokeHolders(lead *leader) {
+	for name, h := range lead.hosts {
+		if h.entry {
+			s.poke(lead, name)
+		}
+	}
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -27,30 +27,43 @@
 		return err
 	}
 	peers := newPeers(ctx, d.endpoint)
-	d.replica, err = replica.Open(replica.Config{
+	conf := replica.Config{
 		Dir:       d.settings.DataDir,
 		Addr:      d.peerAddr(),
 		Initial:   d.settings.Control,
 		Bootstrap: d.settings.Bootstrap,
+		Join:      d.settings.Join,
+		Clock:     clock.Boot{},
 		Logger:    d.logger,
 
 		SnapshotEntries: d.options.SnapshotEntries,
-	}, machine, peers)
+	}
+	if o := d.options.Deployment; o != nil {
+		conf.MinVoters = o.MinVoters
+	}
+	d.replica, err = replica.Open(conf, machine, peers)
 	if err != nil {
 		return fmt.Errorf("data_dir: %w", err)
 	}
 	d.endpoint.Require(wire.KindRaft, pki.ControlUnit)
 	d.endpoint.Handle(wire.KindRaft, receiveRaft(d.replica))
-	d.control = control.New(control.Config{
+	serverConf := control.Config{
 		Name:      d.settings.Host,
 		Machine:   machine,
 		Log:       replicatedLog{d.replica},
 		Members:   replicatedLog{d.replica},
 		Transport: d.endpoint,
-		Clock:     clock.System{},
+		Clock:     clock.Boot{},
 		Logger:    d.logger,
 		Limits:    new(limits).of,
-	})
+	}
+	if o := d.options.Deployment; o != nil {
+		serverConf.Targets = o.Targets
+		serverConf.DrainTime = o.DrainTime
+		serverConf.Controls = d.controls
+		serverConf.MayAccept = d.mayAccept
+	}
+	d.control = control.New(serverConf)
 	return nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,8 @@
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/control"
 	"github.com/citronrun/citronrun/internal/entry"
+	"github.com/citronrun/citronrun/internal/gateway"
+	"github.com/citronrun/citronrun/internal/holder"
 	"github.com/citronrun/citronrun/internal/owner"
 	"github.com/citronrun/citronrun/internal/pki"
 	"github.com/citronrun/citronrun/internal/replica"
@@ -49,6 +52,8 @@
 	TargetPassword string      // instead of settings.Targets.PasswordFile
 
 	SnapshotEntries uint64 // log entries between snapshots of a control host; 0: the default
+
+	Deployment *Deployment // serves a deployment instead of PostgreSQL callers
 }
 
 // Daemon is a running process of citronrun.
@@ -63,7 +68,12 @@
 	control  *control.Server  // nil without the control role
 	owner    *owner.Manager   // nil without the entry role
 	entry    *entry.Server    // nil without the entry role
-	admin    *admin.Server
+	admin    *admin.Server    // nil without an address for it
+
+	holder        *holder.Manager  // nil without a deployment and the entry role
+	gateway       *gateway.Gateway // likewise
+	server        CallerServer     // likewise
+	metricsServer *http.Server     // nil without an address for it
 
 	callers   net.Listener
 	adminAddr net.Addr
@@ -87,7 +97,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	for _, step := range []func(context.Context) error{
-		d.listenPeers, d.openControl, d.buildAgent, d.buildEntry, d.buildMetrics, d.listenAdmin, d.run,
+		d.listenPeers, d.openControl, d.buildAgent, d.buildEntry, d.buildMetrics, d.listenAdmin, d.listenMetrics, d.run,
 	} {
 		if err := step(ctx); err != nil {
 			d.abort()
@@ -121,9 +131,8 @@
 func (d *Daemon) listenPeers(context.Context) error {
 	conf := d.options.PeerTLS
 	if conf == nil {
-		files := d.settings.PeerTLS
 		var err error
-		if conf, err = pki.PeerConfigFromFiles(files.CA, files.Cert, files.Key); err != nil {
+		if conf, err = d.peerTLS(); err != nil {
 			return fmt.Errorf("peer_tls: %w", err)
 		}
 	}
@@ -141,6 +150,19 @@
 	return nil
 }
 
+// peerTLS returns the configuration for connections between hosts.
+func (d *Daemon) peerTLS() (*tls.Config, error) {
+	files := d.settings.PeerTLS
+	if !files.SelfSigned {
+		return pki.PeerConfigFromFiles(files.CA, files.Cert, files.Key)
+	}
+	var units []string
+	if d.settings.Has(settings.RoleControl) {
+		units = append(units, pki.ControlUnit)
+	}
+	return pki.SelfSigned(d.settings.Host, units...)
+}
+
 // peerAddr returns the address under which other hosts reach this one.
 func (d *Daemon) peerAddr() string {
 	if a := d.settings.Listen.PeersAdvertised; a != "" {
@@ -157,7 +179,7 @@
 		Entry:     d.settings.Has(settings.RoleEntry),
 		Control:   d.settings.Control,
 		Transport: d.endpoint,
-		Clock:     clock.System{},
+		Clock:     clock.Boot{},
 		Logger:    d.logger,
 		Probe:     d.probe,
 	})
@@ -175,6 +197,10 @@
 	if d.entry != nil {
 		d.start("entry", func() error { return d.serveCallers(ctx) })
 	}
+	if d.gateway != nil {
+		d.start("holder", func() error { return d.holder.Run(ctx) })
+		d.start("callers", func() error { return d.serveGateway() })
+	}
 	return nil
 }
 
@@ -229,7 +255,11 @@
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.stopping.Store(true)
 	_ = level.Info(d.logger).Log("part", "daemon", "msg", "shutdown started")
-	err := d.handOver(ctx)
+	var err error
+	if d.gateway != nil {
+		err = d.shutdownGateway(ctx)
+	}
+	err = errors.Join(err, d.handOver(ctx))
 	handedOver := time.Now()
 	err = errors.Join(err, d.stopEntry(ctx))
 	d.stopPeers(ctx, handedOver)
@@ -253,6 +283,13 @@
 	return nil
 }
 
+func (d *Daemon) serveGateway() error {
+	if err := d.server.Serve(d.callers); !d.stopping.Load() {
+		return err
+	}
+	return nil
+}
+
 func (d *Daemon) stopEntry(ctx context.Context) error {
 	if d.entry == nil {
 		return nil
@@ -265,7 +302,7 @@
 // renewal, and what they sent before is answered or refused as NotRun. Closing the connections at
 // once would discard answers on their way.
 func (d *Daemon) stopPeers(ctx context.Context, handedOver time.Time) {
-	if d.entry == nil || d.lastHost.Load() {
+	if d.entry == nil && d.gateway == nil || d.lastHost.Load() {
 		return
 	}
 	pause(ctx, routeSpread-time.Since(handedOver))
@@ -299,6 +336,9 @@
 	if d.owner != nil {
 		_ = d.owner.Shutdown(ended)
 	}
+	if d.server != nil {
+		_ = d.server.Shutdown(ended)
+	}
 	if d.replica != nil {
 		_ = d.replica.Close()
 	}
@@ -308,6 +348,9 @@
 	if d.admin != nil {
 		_ = d.admin.Shutdown(ctx)
 	}
+	if d.metricsServer != nil {
+		_ = d.metricsServer.Close()
+	}
 	d.tasks.Wait(ctx)
 }
 
@@ -332,6 +375,9 @@
 
 // probe answers whether this host reaches a target.
 func (d *Daemon) probe(ctx context.Context, p wire.Probe) wire.ProbeReply {
+	if d.options.Deployment != nil {
+		return wire.ProbeReply{}
+	}
 	f, err := d.factory()
 	if err != nil {
 		return wire.ProbeReply{}
--- /dev/null
+++ b/internal/daemon/deployment.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/citronrun/citronrun/internal/agent"
+	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/control"
+	"github.com/citronrun/citronrun/internal/gateway"
+	"github.com/citronrun/citronrun/internal/holder"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// CallerServer accepts callers. entry.Server is one for PostgreSQL callers.
+type CallerServer interface {
+	Serve(l net.Listener) error
+	// Shutdown closes sessions between transactions and returns when all are gone. When ctx ends first,
+	// it cuts the remaining ones.
+	Shutdown(ctx context.Context) error
+	State() any
+}
+
+// Deployment lets a daemon serve a catalog.Deployment: callers and targets that speak a protocol of
+// their own, on hosts that find each other from a few seeds.
+type Deployment struct {
+	Dialer  holder.Dialer
+	Targets control.TargetControl
+	// Callers returns the server for callers; it is called on entry hosts.
+	Callers func(g *gateway.Gateway, logger log.Logger) CallerServer
+	// MinVoters is the number of control hosts that must remember a change before it is accepted.
+	MinVoters int
+	// DrainTime is how long a target that leaves may get new work.
+	DrainTime time.Duration
+	// BlockTime is how long open blocks may go on in a graceful shutdown.
+	BlockTime time.Duration
+}
+
+// SetControl replaces the seeds from which control hosts are found.
+func (d *Daemon) SetControl(addrs []string) {
+	d.agent.SetControl(addrs)
+	if d.replica != nil {
+		d.replica.SetInitial(addrs)
+	}
+}
+
+// Replicated reports whether this host's control member belongs to a group that has a leader.
+func (d *Daemon) Replicated() bool { return d.replica != nil && d.replica.Status().Leader.ID != 0 }
+
+// buildGateway prepares the holder of targets and the gateway for callers.
+func (d *Daemon) buildGateway() error {
+	h := holder.New(holder.Config{
+		Dialer:  d.options.Deployment.Dialer,
+		Leases:  d.agent,
+		Clock:   clock.Boot{},
+		Logger:  d.logger,
+		Metrics: d.metrics,
+	})
+	d.agent.OnTargets(func(leases []agent.TargetLease) {
+		out := make([]holder.Lease, 0, len(leases))
+		for _, l := range leases {
+			out = append(out, holder.Lease{TargetGrant: l.TargetGrant, Revoked: l.Revoked})
+		}
+		h.Apply(out)
+	})
+	d.agent.Health(h.Health)
+	d.endpoint.Handle(wire.KindWork, serveWork(h))
+	d.holder = h
+	d.gateway = gateway.New(gateway.Config{
+		Place:     d.settings.Place,
+		Directory: gatewayDirectory{d.agent},
+		Link:      &workLink{host: d.settings.Host, endpoint: d.endpoint, holder: h},
+		Clock:     clock.Boot{},
+		Logger:    d.logger,
+		Metrics:   d.metrics,
+	})
+	d.server = d.options.Deployment.Callers(d.gateway, d.logger)
+	var err error
+	if d.callers, err = net.Listen("tcp", d.settings.Listen.Callers); err != nil {
+		return fmt.Errorf("listen.callers: %w", err)
+	}
+	return nil
+}
+
+// gatewayDirectory adapts the agent to the interface of the gateway package.
+type gatewayDirectory struct{ *agent.Agent }
+
+// TargetsOf returns the routes to the targets of a service.
+func (d gatewayDirectory) TargetsOf(service string) []wire.TargetRoute {
+	return d.Agent.Targets().Service(service)
+}
+
+var errTooFewVoters = errors.New("too few control hosts to accept a change")
+
+// mayAccept refuses changes while fewer control hosts than needed would remember them.
+func (d *Daemon) mayAccept() error {
+	voters := 0
+	for _, m := range d.replica.Status().Members {
+		if !m.Learner {
+			voters++
+		}
+	}
+	if voters < d.options.Deployment.MinVoters {
+		return fmt.Errorf("%w: %d of %d", errTooFewVoters, voters, d.options.Deployment.MinVoters)
+	}
+	return nil
+}
+
+// controls returns the addresses of the members of the control group.
+func (d *Daemon) controls() []string {
+	var addrs []string
+	for _, m := range d.replica.Status().Members {
+		addrs = append(addrs, m.Addr)
+	}
+	return addrs
+}
+
+// shutdownGateway hands the targets over while callers go on, then closes the sessions: those between
+// two operations at once, open blocks after their time.
+func (d *Daemon) shutdownGateway(ctx context.Context) error {
+	began := time.Now()
+	drained := make(chan error, 1)
+	go func() { drained <- d.agent.Drain(ctx) }()
+	pause(ctx, d.settings.ShutdownDelay.Value())
+	blocks, cancel := context.WithDeadline(ctx, began.Add(d.options.Deployment.BlockTime))
+	defer cancel()
+	if err := d.server.Shutdown(blocks); err != nil {
+		_ = level.Info(d.logger).Log("part", "daemon", "msg", "open blocks were cut", "err", err)
+	}
+	select {
+	case err := <-drained:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// listenMetrics serves the metrics alone, on an address that needs no token because they hold no
+// secrets.
+func (d *Daemon) listenMetrics(context.Context) error {
+	addr := d.settings.Listen.Metrics
+	if addr == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen.metrics: %w", err)
+	}
+	d.metricsServer = newMetricsServer([]*metrics.Set{d.metrics})
+	d.start("metrics", func() error { return serveHTTP(d.metricsServer, l) })
+	return nil
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -16,6 +16,7 @@
 	"github.com/citronrun/citronrun/internal/admin"
 	"github.com/citronrun/citronrun/internal/agent"
 	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/entry"
 	"github.com/citronrun/citronrun/internal/owner"
 	"github.com/citronrun/citronrun/internal/pki"
@@ -63,6 +64,9 @@
 	if !d.settings.Has(settings.RoleEntry) {
 		return nil
 	}
+	if d.options.Deployment != nil {
+		return d.buildGateway()
+	}
 	f, err := d.factory()
 	if err != nil {
 		return err
@@ -103,6 +107,7 @@
 		Factory:     f,
 		LeaseValid:  d.agent.LeaseValid,
 		ReturnLease: d.agent.Return,
+		Clock:       clock.Boot{},
 		Logger:      d.logger,
 	})
 	d.agent.OnGrant(d.owner.OnGrant)
@@ -153,6 +158,9 @@
 
 // listenAdmin starts the HTTP server, so that health can be seen from the beginning.
 func (d *Daemon) listenAdmin(context.Context) error {
+	if d.settings.Listen.Admin == "" {
+		return nil
+	}
 	conf, err := serverTLS(d.settings.Admin.TLS)
 	if err != nil {
 		return fmt.Errorf("admin.tls: %w", err)
@@ -191,6 +199,11 @@
 		parts["entry"] = d.entry.State
 		parts["owner"] = d.owner.State
 	}
+	if d.gateway != nil {
+		parts["gateway"] = d.gateway.State
+		parts["holder"] = d.holder.State
+		parts["callers"] = d.server.State
+	}
 	if d.replica != nil {
 		parts["replica"] = func() any { return d.replica.Status() }
 		parts["control"] = func() any { return d.control.Status() }
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/citronrun/citronrun/internal/statement"
+)
+
+// gatewayMetrics counts the requests of callers.
+type gatewayMetrics struct {
+	set      *metrics.Set
+	opened   *metrics.Counter
+	retries  *metrics.Counter
+	reroutes *metrics.Counter
+	latency  *metrics.Histogram
+	age      *metrics.Histogram
+}
+
+func newGatewayMetrics(set *metrics.Set, sessions func() int) *gatewayMetrics {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	set.NewGauge("citron_sessions", func() float64 { return float64(sessions()) })
+	return &gatewayMetrics{
+		set:      set,
+		opened:   set.NewCounter("citron_sessions_opened_total"),
+		retries:  set.NewCounter("citron_statement_retries_total"),
+		reroutes: set.NewCounter("citron_statement_reroutes_total"),
+		latency:  set.NewHistogram("citron_statement_seconds"),
+		age:      set.NewHistogram("citron_read_sample_age_seconds"),
+	}
+}
+
+// outcome counts a statement by its kind and the code of its outcome; empty: success.
+func (m *gatewayMetrics) outcome(kind statement.Kind, code string) {
+	if code == "" {
+		code = "ok"
+	}
+	m.set.GetOrCreateCounter(`citron_statements_total{kind="` + kind.String() + `",code="` + code + `"}`).Inc()
+}
--- /dev/null
+++ b/internal/holder/target.go
@@ -0,0 +1,375 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/citronrun/citronrun/internal/admission"
+	"github.com/citronrun/citronrun/internal/position"
+	"github.com/citronrun/citronrun/internal/statement"
+	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+var (
+	errLeaseEnded = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the lease of the target has ended")
+	errNotPrimary = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host may not do work that needs the primary")
+)
+
+// errUnconfirmed means that a commit was answered, but the lease had ended by then.
+func errUnconfirmed() error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeOutcomeUnknown, "the lease ended before the commit was acknowledged")
+}
+
+const lane = "target" // each target has a queue of its own
+
+// target is one held target in one epoch of its lease.
+type target struct {
+	m     *Manager
+	name  string
+	epoch uint64
+	gate  *admission.Gate
+	conns *conns
+
+	mu         sync.Mutex
+	grant      wire.TargetGrant
+	revoked    time.Time // zero: renewed
+	noPrimary  time.Time // when the primary was taken back and not yet released; zero: neither
+	closed     bool
+	work       int // statements and blocks under way
+	primary    int // of those, the ones that need the primary
+	blocks     map[*Block]struct{}
+	running    map[*running]struct{}
+	failing    time.Time // first failure to reach the target since the last answer; zero: none
+	sample     wire.Sample
+	sampleAt   time.Time // zero: no sample
+	pinging    bool
+	reportedAt time.Time // last poke because of bad health
+}
+
+// running is a statement at the target.
+type running struct {
+	since  time.Time
+	commit bool // it waits for replicas before it is answered
+}
+
+func newTarget(m *Manager, l Lease) *target {
+	t := &target{
+		m: m, name: l.Target, epoch: l.Epoch,
+		gate:    admission.NewGate(admission.Config{}, m.cfg.Clock),
+		blocks:  map[*Block]struct{}{},
+		running: map[*running]struct{}{},
+	}
+	t.conns = &conns{m: m, dial: t.dial}
+	return t
+}
+
+// apply takes over the lease's present terms.
+func (t *target) apply(l Lease) {
+	now := t.m.cfg.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.grant.Slots != l.Slots || t.grant.Connections != l.Connections {
+		t.gate.SetLane(lane, l.Slots+extraStatements, l.Connections)
+		t.conns.setMax(l.Connections)
+	}
+	if t.grant.Primary && !l.Primary {
+		t.noPrimary = now
+	}
+	if l.Primary {
+		t.noPrimary = time.Time{}
+	}
+	if l.Primary != t.grant.Primary || l.Term != t.grant.Term {
+		t.sampleAt = time.Time{} // of another primary's log
+		_ = level.Info(t.m.logger).Log("msg", "primary of target changed", "target", t.name, "epoch", t.epoch, "primary", l.Primary, "term", l.Term)
+	}
+	if l.Revoked && t.revoked.IsZero() {
+		t.revoked = now
+		_ = level.Info(t.m.logger).Log("msg", "target lease revoked", "target", t.name, "epoch", t.epoch, "work", t.work)
+	}
+	t.grant = l.TargetGrant
+}
+
+// dial opens a connection and notes whether the target was reached.
+func (t *target) dial(ctx context.Context, team string) (Conn, error) {
+	t.mu.Lock()
+	grant := t.grant
+	t.mu.Unlock()
+	began := t.m.cfg.Clock.Now()
+	c, err := t.m.cfg.Dialer.Dial(ctx, grant, team)
+	if err != nil {
+		if _, answered := errors.AsType[*verdict.Error](err); answered {
+			t.heard()
+			return nil, err
+		}
+		t.unheard(began)
+		_ = level.Info(t.m.logger).Log("msg", "target not reached", "target", t.name, "addr", grant.Addr, "err", err)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "target %q can't be reached: %w", t.name, err)
+	}
+	t.heard()
+	return c, nil
+}
+
+func (t *target) heard() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failing = time.Time{}
+}
+
+func (t *target) unheard(since time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failing.IsZero() {
+		t.failing = since
+	}
+}
+
+// begin admits work. end must be called once it is over.
+func (t *target) begin(primary bool) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.closed, !t.revoked.IsZero():
+		return errLeaseEnded
+	case primary && !t.grant.Primary:
+		return errNotPrimary
+	}
+	t.work++
+	if primary {
+		t.primary++
+	}
+	return nil
+}
+
+func (t *target) end(primary bool) {
+	t.mu.Lock()
+	t.work--
+	if primary {
+		t.primary--
+	}
+	t.mu.Unlock()
+	t.settle()
+}
+
+// valid reports whether work under the lease may go on at this moment.
+func (t *target) valid(primary bool) bool {
+	t.mu.Lock()
+	term := t.grant.Term
+	t.mu.Unlock()
+	return t.validIn(primary, term)
+}
+
+func (t *target) validIn(primary bool, term uint64) bool {
+	return t.m.cfg.Leases.TargetValid(t.name, t.epoch, primary, term)
+}
+
+// settle gives back what the leader has taken back, once the work under it has ended.
+func (t *target) settle() {
+	t.mu.Lock()
+	release := !t.noPrimary.IsZero() && t.primary == 0
+	if release {
+		t.noPrimary = time.Time{}
+	}
+	giveBack := !t.revoked.IsZero() && t.work == 0 && !t.closed
+	if giveBack {
+		t.closed = true
+	}
+	t.mu.Unlock()
+	if release {
+		t.m.cfg.Leases.ReleasePrimary(t.name, t.epoch)
+	}
+	if giveBack {
+		t.conns.close()
+		t.m.forget(t)
+		_ = level.Info(t.m.logger).Log("msg", "target lease returned", "target", t.name, "epoch", t.epoch)
+		t.m.cfg.Leases.ReturnTarget(t.name, t.epoch)
+	}
+}
+
+// tick ends work that has outlived its lease, asks a quiet primary for its position, and makes bad
+// health known.
+func (t *target) tick(ctx context.Context) {
+	now := t.m.cfg.Clock.Now()
+	if !t.valid(false) {
+		t.close(errLeaseEnded)
+		t.m.forget(t)
+		return
+	}
+	t.mu.Lock()
+	overdue := !t.revoked.IsZero() && now.Sub(t.revoked) >= leaseDrain
+	primaryOverdue := !t.noPrimary.IsZero() && now.Sub(t.noPrimary) >= primaryDrain
+	var cut []*Block
+	for b := range t.blocks {
+		if overdue || primaryOverdue && b.primary {
+			cut = append(cut, b)
+		}
+	}
+	ping := t.grant.Primary && !t.pinging && t.revoked.IsZero() && now.Sub(t.sampleAt) >= sampleInterval
+	t.pinging = t.pinging || ping
+	poke := t.unwell(now) && now.Sub(t.reportedAt) >= minReport
+	if poke {
+		t.reportedAt = now
+	}
+	t.mu.Unlock()
+	for _, b := range cut {
+		b.abort(errLeaseEnded)
+	}
+	if ping {
+		go t.ping(ctx)
+	}
+	if poke {
+		t.m.cfg.Leases.Poke()
+	}
+	t.settle()
+}
+
+// ping asks the primary for its position.
+func (t *target) ping(ctx context.Context) {
+	defer func() {
+		t.mu.Lock()
+		t.pinging = false
+		t.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	c := t.conns.anyIdle()
+	if c != nil && !c.Usable() {
+		t.conns.drop(c)
+		c = nil
+	}
+	if c == nil {
+		var err error
+		if c, err = t.conns.get(ctx, "", nil); err != nil {
+			return // dial has noted whether the target was reached
+		}
+	}
+	began := t.m.cfg.Clock.Now()
+	r := t.start(false)
+	pos, err := c.Ping(ctx)
+	t.finish(r)
+	if _, answered := errors.AsType[*verdict.Error](err); err != nil && !answered {
+		t.unheard(began)
+		t.conns.drop(c)
+		return
+	}
+	t.conns.put(c)
+	t.heard()
+	if err == nil {
+		t.note(began, pos)
+	}
+}
+
+// start and finish note a statement at the target.
+func (t *target) start(commit bool) *running {
+	r := &running{since: t.m.cfg.Clock.Now(), commit: commit}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running[r] = struct{}{}
+	return r
+}
+
+func (t *target) finish(r *running) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, r)
+}
+
+// note keeps a position as a sample if this host could do work that needs the primary from since on:
+// then the target's log held every commit that was acknowledged before.
+func (t *target) note(since time.Time, pos position.Position) {
+	if pos.IsZero() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.grant.Primary || !t.validIn(true, t.grant.Term) || !since.After(t.sampleAt) {
+		return
+	}
+	t.sample = wire.Sample{Position: pos}
+	t.sampleAt = since
+}
+
+// annotate adds the newest sample and the expected wait to an answer.
+func (t *target) annotate(reply *wire.WorkReply) {
+	requests, slots := t.gate.Load(lane)
+	reply.Wait = time.Duration(requests) * t.gate.Cost(lane) / time.Duration(max(slots, 1))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sampleAt.IsZero() {
+		return
+	}
+	reply.Sample = &wire.Sample{Position: t.sample.Position, Age: t.m.cfg.Clock.Now().Sub(t.sampleAt)}
+}
+
+// healthReport says for how long the target has been silent, or has kept a commit waiting.
+func (t *target) healthReport() wire.TargetHealth {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.health(t.m.cfg.Clock.Now())
+}
+
+func (t *target) health(now time.Time) wire.TargetHealth {
+	h := wire.TargetHealth{Target: t.name}
+	if !t.failing.IsZero() {
+		h.Silent = now.Sub(t.failing)
+	}
+	for r := range t.running {
+		age := now.Sub(r.since)
+		switch {
+		case age < minReport:
+		case r.commit:
+			h.Stuck = max(h.Stuck, age)
+		default:
+			h.Silent = max(h.Silent, age)
+		}
+	}
+	if h.Stuck > 0 && t.failing.IsZero() {
+		h.Silent = 0 // waiting commits occupy the slots that other statements need
+	}
+	return h
+}
+
+func (t *target) unwell(now time.Time) bool {
+	h := t.health(now)
+	return h.Silent >= minReport || h.Stuck >= minReport
+}
+
+// close ends the target without returning its lease, which has ended.
+func (t *target) close(cause error) {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return
+	}
+	t.closed = true
+	var cut []*Block
+	for b := range t.blocks {
+		cut = append(cut, b)
+	}
+	t.mu.Unlock()
+	for _, b := range cut {
+		b.abort(cause)
+	}
+	t.conns.close()
+	_ = level.Info(t.m.logger).Log("msg", "target lease ended", "target", t.name, "epoch", t.epoch, "err", cause)
+}
+
+func (t *target) state() TargetState {
+	h := t.healthReport()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return TargetState{
+		Service: t.grant.Service, Epoch: t.epoch, Primary: t.grant.Primary, Term: t.grant.Term,
+		Revoked: !t.revoked.IsZero(), Open: t.conns.count(), Work: t.work,
+		Silent: h.Silent.Seconds(), Stuck: h.Stuck.Seconds(), Position: t.sample.Position.String(),
+	}
+}
+
+// commits reports whether a statement may wait for replicas.
+func commits(st statement.Statement, block bool) bool {
+	return st.Kind == statement.Commit || st.Kind == statement.Write && !block
+}
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"cmp"
+	"time"
+)
+
+const (
+	// hostTrial is how long a process must have served before targets move to it from a host that
+	// still serves them.
+	hostTrial = 3 * time.Second
+	// balanceGap is the difference in seats between two hosts of a place that justifies a move.
+	balanceGap = 3
+)
+
+// Host is a host that may hold leases.
+type Host struct {
+	Name     string
+	Boot     string
+	Place    string
+	Draining bool
+	Since    time.Time // first renewal of this process
+	Seats    int
+}
+
+// Choose returns the host for a target in a place: one in the same place if there is any, then the
+// one with the fewest seats, then by name. Hosts for which avoid returns true are the last resort. It
+// returns nil if there is no host.
+func Choose(hosts []Host, place string, avoid func(host string) bool) *Host {
+	var best *Host
+	for i := range hosts {
+		h := &hosts[i]
+		if h.Draining {
+			continue
+		}
+		if best == nil || compare(h, best, place, avoid) < 0 {
+			best = h
+		}
+	}
+	return best
+}
+
+func compare(a, b *Host, place string, avoid func(string) bool) int {
+	return cmp.Or(
+		before(!avoid(a.Name), !avoid(b.Name)),
+		before(a.Place == place, b.Place == place),
+		cmp.Compare(a.Seats, b.Seats),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
+
+// before orders true in front of false.
+func before(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// Better reports whether a target should move from its holder to another host although nothing is
+// wrong: the other one is in the target's place, or serves much less there.
+func Better(now time.Time, hosts []Host, holder, place string, avoid func(string) bool) bool {
+	best := Choose(hosts, place, avoid)
+	if best == nil || best.Name == holder || avoid(best.Name) || now.Sub(best.Since) < hostTrial {
+		return false
+	}
+	for i := range hosts {
+		h := &hosts[i]
+		if h.Name != holder {
+			continue
+		}
+		near, far := best.Place == place, h.Place != place
+		return near && far || near == (h.Place == place) && h.Seats-best.Seats >= balanceGap
+	}
+	return false
+}
--- a/internal/replica/batch.go
+++ b/internal/replica/batch.go
@@ -25,6 +25,8 @@
 	helloNone hello = iota
 	helloAsk
 	helloAnswer
+	helloJoin  // asks a leader for admission
+	helloRefer // names the leader to a host that asked for admission
 )
 
 // envelope is the content of a batch.
@@ -35,6 +37,7 @@
 	Hello    hello               `cbor:"4,keyasint,omitempty"`
 	Joined   bool                `cbor:"5,keyasint,omitempty"` // the sender belongs to a group
 	Founding bool                `cbor:"6,keyasint,omitempty"` // the sender may found a group
+	Leader   string              `cbor:"7,keyasint,omitempty"` // with helloRefer: address
 }
 
 var errBadBatch = errors.New("malformed batch")
@@ -48,7 +51,7 @@
 	if err := wire.Unmarshal(batch, &e); err != nil {
 		return envelope{}, fmt.Errorf("decode batch: %w", err)
 	}
-	if e.Version != batchVersion || e.From.ID == 0 || len(e.From.Addr) > maxAddrBytes || e.Hello > helloAnswer {
+	if e.Version != batchVersion || e.From.ID == 0 || len(e.From.Addr) > maxAddrBytes || e.Hello > helloRefer {
 		return envelope{}, errBadBatch
 	}
 	for _, m := range e.Messages {
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -81,6 +81,14 @@
 }
 
 func (r *Replica) handleHello(e envelope) error {
+	switch e.Hello {
+	case helloJoin:
+		r.handleJoin(e)
+		return nil
+	case helloRefer:
+		r.handleReferral(e)
+		return nil
+	}
 	if e.Hello == helloAsk {
 		answer := envelope{Hello: helloAnswer, Joined: r.joined(), Founding: r.founding != nil}
 		r.sendEnvelope(e.From, answer)
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -45,8 +45,14 @@
 func (r *Replica) tick() error {
 	r.node.Tick()
 	r.ticks++
+	r.leaderless++
+	if r.node.Status().Leader != 0 {
+		r.leaderless = 0
+	}
 	if r.ticks%helloTicks == 0 {
 		r.sendHellos()
+		r.askToJoin()
+		r.prune()
 	}
 	return r.step()
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,7 +63,12 @@
 	// Bootstrap lets a host with an empty folder found the group. It does so only after all other
 	// hosts in Initial have answered that they belong to no group, so that a host that lost its disk
 	// doesn't found a second one.
-	Bootstrap       bool
+	Bootstrap bool
+	// Join lets a host that belongs to no group ask the initial hosts for admission, and lets a leader
+	// admit any host that asks. A host not among the initial ones never founds a group then.
+	Join bool
+	// MinVoters is the number of voters below which no silent member is removed; 0: none is removed.
+	MinVoters       int
 	SnapshotEntries uint64           // 0: DefaultSnapshotEntries
 	TailEntries     uint64           // 0: DefaultTailEntries
 	Seed            uint64           // of election timeouts; 0: random
@@ -115,6 +121,9 @@
 	addresses map[uint64]string       // of senders
 	founding  *founding               // nil unless this member may found the group
 	ticks     int
+
+	referredTo string // leader that another member has named; empty: none
+	leaderless int    // ticks without a known leader
 }
 
 // Open loads the member's folder and starts the member. An empty folder gets a new random member id.
@@ -182,7 +191,8 @@
 	if err := r.newNode(state); err != nil {
 		return err
 	}
-	if state.Snapshot.Index == 0 && r.cfg.Bootstrap {
+	mayFound := r.cfg.Bootstrap && (!r.cfg.Join || slices.Contains(r.cfg.Initial, r.cfg.Addr))
+	if state.Snapshot.Index == 0 && mayFound {
 		return r.beginFounding()
 	}
 	r.publish()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -98,13 +98,19 @@
 	if s.Listen.PeersAdvertised != "" {
 		self = s.Listen.PeersAdvertised
 	}
-	if !slices.Contains(s.Control, self) {
+	if !s.Join && !slices.Contains(s.Control, self) {
 		return fault("control", "lacks this control host's own address %s", self)
 	}
 	return nil
 }
 
 func (s *Settings) checkTLS() *Error {
+	if s.PeerTLS.SelfSigned {
+		if s.PeerTLS.CA+s.PeerTLS.Cert+s.PeerTLS.Key != "" {
+			return fault("peer_tls.self_signed", "excludes certificate files")
+		}
+		return s.checkCallerTLS()
+	}
 	for _, f := range []struct{ field, name string }{
 		{"peer_tls.ca", s.PeerTLS.CA}, {"peer_tls.cert", s.PeerTLS.Cert}, {"peer_tls.key", s.PeerTLS.Key},
 	} {
@@ -112,6 +118,10 @@
 			return fault(f.field, "is missing: daemons talk over mutual TLS only")
 		}
 	}
+	return s.checkCallerTLS()
+}
+
+func (s *Settings) checkCallerTLS() *Error {
 	for _, p := range []struct {
 		field string
 		pair  *KeyPair
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,10 @@
 	// they belong to none. It is set on one host only and ignored once the data folder has contents.
 	Bootstrap bool `json:"bootstrap"`
 
+	// Join lets a control host ask the hosts in Control for admission to their group, so that its own
+	// address needn't be among them.
+	Join bool `json:"join"`
+
 	PeerTLS   TLS      `json:"peer_tls"`   // between daemons, mutual
 	CallerTLS *KeyPair `json:"caller_tls"` // towards callers; missing: no TLS offered
 	Admin     Admin    `json:"admin"`
@@ -52,6 +56,7 @@
 	// PeersAdvertised and CallersAdvertised are the addresses that others use, when they differ
 	// from the ones listened on.
 	PeersAdvertised string `json:"peers_advertised"`
+	Metrics         string `json:"metrics"` // HTTP, metrics alone; missing: only at Admin
 }
 
 // TLS names certificate files in PEM form.
@@ -59,6 +64,9 @@
 	CA   string `json:"ca"`
 	Cert string `json:"cert"`
 	Key  string `json:"key"`
+	// SelfSigned encrypts without certificate files. Peers aren't authenticated then, so that the network
+	// between hosts has to be trusted.
+	SelfSigned bool `json:"self_signed"`
 }
 
 // KeyPair names a certificate file and its key file in PEM form.
@@ -167,6 +175,14 @@
 	return s, nil
 }
 
+// Check returns the first fault of settings that were made by a program instead of Parse.
+func (s *Settings) Check() error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	return nil
+}
+
 // resolve makes file names relative to dir.
 func (s *Settings) resolve(dir string) {
 	names := []*string{
--- a/internal/statechart/statechart.go
+++ b/internal/statechart/statechart.go
@@ -26,6 +26,7 @@
 type Chart struct {
 	name    string
 	initial string
+	events  []string
 	states  map[string]state
 }
 
@@ -75,7 +76,7 @@
 	if err := decodeStrict(std, &src); err != nil {
 		return nil, err
 	}
-	c := &Chart{name: src.Name, initial: src.Initial, states: map[string]state{}}
+	c := &Chart{name: src.Name, initial: src.Initial, events: src.Events, states: map[string]state{}}
 	for name, on := range src.States {
 		st, err := parseState(on)
 		if err != nil {
@@ -186,6 +187,9 @@
 	return nil
 }
 
+// Events returns the events in the order of the chart. The slice must not be modified.
+func (c *Chart) Events() []string { return c.events }
+
 // Next returns the transition of a state on an event. ok is false when the state ignores or refuses
 // the event, or doesn't exist. The actions must not be modified.
 func (c *Chart) Next(state, event string) (next string, actions []string, ok bool) {
--- a/internal/statechart/statechart_test.go
+++ b/internal/statechart/statechart_test.go
@@ -13,7 +13,7 @@
 	is := is.New(t)
 	entries, err := files.ReadDir("charts")
 	is.NoErr(err)
-	is.Equal(len(entries), 3)
+	is.Equal(len(entries), 4)
 	for _, e := range entries {
 		_, err := Load(strings.TrimSuffix(e.Name(), ".jsonc"))
 		is.NoErr(err)
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -78,6 +79,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("resolve %q: %w", addr, err)
 	}
+	// Small buffers suffice for the traffic between hosts, and the warning isn't in the log's format.
+	if err := os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true"); err != nil {
+		return nil, err
+	}
 	socket, err := net.ListenUDP("udp", udp)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -10,6 +10,10 @@
 
 // tlsConfigs derives the configurations for accepting and for dialing.
 func tlsConfigs(conf *tls.Config) (server, client *tls.Config, err error) {
+	if conf != nil && conf.InsecureSkipVerify {
+		server, client = unverified(conf)
+		return server, client, nil
+	}
 	if conf == nil || conf.RootCAs == nil {
 		return nil, nil, errors.New("TLS configuration has no root certificates")
 	}
@@ -36,6 +40,19 @@
 	return server, client, nil
 }
 
+// unverified encrypts, but accepts every peer that shows a certificate with a name. It is for
+// installations that have no secret from which peers could be authenticated.
+func unverified(conf *tls.Config) (server, client *tls.Config) {
+	server = conf.Clone()
+	server.NextProtos = []string{Protocol}
+	server.MinVersion = tls.VersionTLS13
+	server.ClientAuth = tls.RequireAnyClientCert
+	client = conf.Clone()
+	client.NextProtos = []string{Protocol}
+	client.MinVersion = tls.VersionTLS13
+	return server, client
+}
+
 func verifyServer(state tls.ConnectionState, roots *x509.CertPool) error {
 	if _, err := peerName(state); err != nil {
 		return err
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -47,6 +47,15 @@
 	CodeInvalidParameter = "22023" // bad value of a citron setting
 	CodeShutdown         = "57P01" // the host is shutting down
 	CodeUnknownService   = "3D000" // no such service
+	CodeReadOnly         = "25006" // a write at a target that isn't the primary
+	CodeFailedBlock      = "25P02" // the block has failed and can only be rolled back
+	CodeAborted          = "40001" // the block was rolled back; nothing of it is kept
+	CodeUnknownStatement = "26000" // no such prepared statement
+	CodeTimeout          = "57014" // the statement took too long
+	CodeTooLarge         = "54000" // a message exceeds the limit
+	CodeReplicaBehind    = "CR001" // the target's log lacks the position that was asked for
+	CodeWrongTarget      = "CR002" // another target answers at the address
+	CodeStatementFailed  = "CR003" // the target reported a failure of the statement
 )
 
 // Error is an error with a verdict and an SQLSTATE.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -26,16 +26,19 @@
 
 // The kinds of streams.
 const (
-	KindRenew    Kind = iota + 1 // Renew, answered by RenewReply
-	KindBorrow                   // Borrow, answered by Lot
-	KindTx                       // TxRequest and frames, answered by TxReply and frames
-	KindCancel                   // Cancel, no answer
-	KindRaft                     // consensus messages, no answer
-	KindChange                   // ChangeRequest, answered by ChangeReply
-	KindAnnounce                 // Announce, answered by AnnounceReply
-	KindProbe                    // Probe, answered by ProbeReply
-	KindAdmin                    // AdminRequest, answered by AdminReply
-	KindPoke                     // Poke from the leader: renew at once, no answer
+	KindRenew      Kind = iota + 1 // Renew, answered by RenewReply
+	KindBorrow                     // Borrow, answered by Lot
+	KindTx                         // TxRequest and frames, answered by TxReply and frames
+	KindCancel                     // Cancel, no answer
+	KindRaft                       // consensus messages, no answer
+	KindChange                     // ChangeRequest, answered by ChangeReply
+	KindAnnounce                   // Announce, answered by AnnounceReply
+	KindProbe                      // Probe, answered by ProbeReply
+	KindAdmin                      // AdminRequest, answered by AdminReply
+	KindPoke                       // Poke from the leader: renew at once, no answer
+	KindWork                       // Work and WorkNext, each answered by WorkReply
+	KindRegister                   // Registration, answered by RegistrationReply
+	KindDeployment                 // DeploymentQuery, answered by DeploymentReply
 )
 
 // Header starts each stream.
@@ -110,6 +113,11 @@
 	Reports         []ServiceReport   `cbor:"13,keyasint,omitempty"` // of owned services
 
 	LotsHeld map[string]LotHeld `cbor:"14,keyasint,omitempty"` // team: lots in hand
+
+	Sequence       uint64         `cbor:"15,keyasint"`           // of this process, grows with each renewal
+	Targets        []TargetHeld   `cbor:"16,keyasint,omitempty"` // all target leases in hand
+	Health         []TargetHealth `cbor:"17,keyasint,omitempty"` // of held targets, those that aren't well
+	TargetsVersion uint64         `cbor:"18,keyasint,omitempty"` // of the target routes, of LeaderTerm
 }
 
 // LotHeld tells the leader what is left of a team's lots. The host will use no lot with an id up to
@@ -161,6 +169,12 @@
 	Lots          []Lot         `cbor:"10,keyasint,omitempty"`
 	LeaseTTL      time.Duration `cbor:"11,keyasint"` // counted by the holder from the send of the Renew
 	Revision      uint64        `cbor:"12,keyasint"` // catalog revision of the leader
+
+	TargetGrants   []TargetGrant `cbor:"13,keyasint,omitempty"`
+	TargetsVersion uint64        `cbor:"14,keyasint,omitempty"`
+	TargetsFull    bool          `cbor:"15,keyasint,omitempty"` // TargetRoutes replaces all
+	TargetRoutes   []TargetRoute `cbor:"16,keyasint,omitempty"`
+	Control        []string      `cbor:"17,keyasint,omitempty"` // QUIC addresses of all control hosts
 }
 
 // Route says which host owns a service.
