Refuse at once over the rate, and lend the allowed slack

Cause: a caller over its team's rate waited up to 100 ms for a token that didn't come, and tokens in lots of other hosts were missed.

Change: TakeSoon refuses while the leader's last answer, that the bucket is empty, is fresh; the leader lends three quarters of the slack that the users allow over rate and burst.

--- a/internal/agent/take.go
+++ b/internal/agent/take.go
@@ -110,6 +110,26 @@
 	return a.borrower.Has(now, team, n) && a.borrower.Take(now, team, n)
 }
 
+// TakeSoon is Take for requests that gain nothing by waiting: it refuses at once while the leader's
+// last answer, that the team's bucket is empty, is fresh.
+func (a *Agent) TakeSoon(ctx context.Context, team string, tokens int) error {
+	if a.TryTake(team, tokens) {
+		return nil
+	}
+	a.mu.Lock()
+	last, ok := a.lastBorrow[team]
+	empty := ok && last.empty && a.Clock.Now().Sub(last.at) < emptyBorrowSpacing
+	if empty {
+		a.borrower.Take(a.Clock.Now(), team, uint64(max(tokens, 0))) // counts as demand
+	}
+	a.mu.Unlock()
+	if !empty {
+		return a.Take(ctx, team, tokens)
+	}
+	rateRefusals.Inc()
+	return verdict.New(verdict.NotRun, verdict.CodeRateExceeded, "the rate of team %q is exceeded", team)
+}
+
 func unreachable(cause error) error {
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no rate tokens: control is not reachable: %w", cause)
 }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -169,6 +169,21 @@
 	return &lot, nil
 }
 
+// Slack is what the users allow beyond a team's rate and burst in a window, because the count is
+// distributed. It keeps tokens that lie at other hosts from being missed.
+type Slack struct {
+	Part   float64 // of rate and burst
+	Tokens float64 // added to the burst
+}
+
+// slackUsed is the part of the slack that is lent; the rest covers clocks that run at different speeds.
+const slackUsed = 0.75
+
+func (k Slack) apply(rate, burst float64) (float64, float64) {
+	part := 1 + slackUsed*k.Part
+	return rate * part, burst*part + slackUsed*k.Tokens
+}
+
 // updateLimits gives the keeper the limits of a new catalog revision.
 func (s *Server) updateLimits(lead *leader, now time.Time) {
 	view := s.Machine.Catalog()
@@ -181,7 +196,8 @@
 	}
 	if d := view.Catalog.Deployment; d != nil {
 		for _, team := range d.Teams {
-			lead.keeper.SetRate(now, team.Name, team.Rate, team.Burst)
+			rate, burst := s.Slack.apply(team.Rate, team.Burst)
+			lead.keeper.SetRate(now, team.Name, rate, burst)
 		}
 	}
 	rate, burst := s.Limits(&view.Catalog, catalog.OpenTeam)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -75,6 +75,8 @@
 	// DrainTime is how long a target that leaves may get new work after it said so; 0:
 	// DefaultDrainTime.
 	DrainTime time.Duration
+	// Slack applies to the limits of deployed teams.
+	Slack Slack
 }
 
 // Server answers hosts while its member leads, and refers them to the leader otherwise.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -60,6 +60,7 @@
 	if o := d.options.Deployment; o != nil {
 		serverConf.Targets = o.Targets
 		serverConf.DrainTime = o.DrainTime
+		serverConf.Slack = o.Slack
 		serverConf.Controls = d.controls
 		serverConf.MayAccept = d.mayAccept
 	}
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -39,6 +39,8 @@
 	MinVoters int
 	// DrainTime is how long a target that leaves may get new work.
 	DrainTime time.Duration
+	// Slack is what may be lent beyond the teams' rates and bursts.
+	Slack control.Slack
 	// BlockTime is how long open blocks may go on in a graceful shutdown.
 	BlockTime time.Duration
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,10 +20,9 @@
 type Directory interface {
 	// Catalog returns the newest configuration, or nil before the first one.
 	Catalog() *catalog.Snapshot
-	// TryTake spends a team's rate tokens if the host has them.
-	TryTake(team string, tokens int) bool
-	// Take spends a team's rate tokens, and asks the leader for some before it refuses.
-	Take(ctx context.Context, team string, tokens int) error
+	// TakeSoon spends a team's rate tokens. Before it refuses, it asks the leader for some, unless the
+	// leader has just had none.
+	TakeSoon(ctx context.Context, team string, tokens int) error
 	// Targets returns the routes to the targets of a service.
 	TargetsOf(service string) []wire.TargetRoute
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -226,12 +226,12 @@
 }
 
 func (s *Session) takeToken(ctx context.Context, team string) error {
-	if team == catalog.OpenTeam || s.g.cfg.Directory.TryTake(team, 1) {
+	if team == catalog.OpenTeam {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, tokenWait)
 	defer cancel()
-	return s.g.cfg.Directory.Take(ctx, team, 1)
+	return s.g.cfg.Directory.TakeSoon(ctx, team, 1)
 }
 
 // noteCommit raises the floor of the session's reads.
