Let sessions end by themselves in a shutdown

Change: a shutdown only wakes the sessions; each ends once nothing has arrived that must be answered.

--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -41,8 +41,6 @@
 	DrainTime time.Duration
 	// Slack is what may be lent beyond the teams' rates and bursts.
 	Slack control.Slack
-	// BlockTime is how long open blocks may go on in a graceful shutdown.
-	BlockTime time.Duration
 }
 
 // SetControl replaces the seeds from which control hosts are found.
@@ -124,17 +122,13 @@
 	return addrs
 }
 
-// shutdownGateway hands the targets over while callers go on, then closes the sessions: those between
-// two operations at once, open blocks after their time.
+// shutdownGateway hands the targets over while callers go on, then closes the sessions.
 func (d *Daemon) shutdownGateway(ctx context.Context) error {
-	began := time.Now()
 	drained := make(chan error, 1)
 	go func() { drained <- d.agent.Drain(ctx) }()
 	pause(ctx, d.settings.ShutdownDelay.Value())
-	blocks, cancel := context.WithDeadline(ctx, began.Add(d.options.Deployment.BlockTime))
-	defer cancel()
-	if err := d.server.Shutdown(blocks); err != nil {
-		_ = level.Info(d.logger).Log("part", "daemon", "msg", "open blocks were cut", "err", err)
+	if err := d.server.Shutdown(ctx); err != nil {
+		_ = level.Info(d.logger).Log("part", "daemon", "msg", "sessions were cut", "err", err)
 	}
 	select {
 	case err := <-drained:
