Record holders of targets in the log and free the seats of restarted processes

Cause: after a restart of everything a new leader waited 3.3 s for leases of processes that were gone, because it didn't know who had held them.

Change: the holder of a target is recorded before its lease is granted. A host's renewal from a later process frees the seats of the earlier one; a delayed renewal of the earlier process is known by its uptime and ignored.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,6 +46,7 @@
 type Agent struct {
 	Config
 	boot     string
+	started  time.Time
 	onGrant  func(wire.LeaseGrant)
 	onRevoke func(service string, epoch uint64)
 	report   func() []wire.ServiceReport
@@ -87,6 +88,7 @@
 	a := &Agent{
 		Config:     c,
 		boot:       rand.Text(),
+		started:    c.Clock.Now(),
 		onGrant:    func(wire.LeaseGrant) {},
 		onRevoke:   func(string, uint64) {},
 		report:     func() []wire.ServiceReport { return nil },
--- a/internal/agent/targets.go
+++ b/internal/agent/targets.go
@@ -111,6 +111,7 @@
 func (a *Agent) requestTargets(req *wire.Renew, now time.Time) {
 	a.sequence++
 	req.Sequence = a.sequence
+	req.Uptime = now.Sub(a.started)
 	req.TargetsVersion = a.targetView.version
 	for name, h := range a.targetView.held {
 		if !now.Before(h.lease.Until) {
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -24,6 +24,7 @@
 	Unregister *unregister `cbor:"9,keyasint,omitempty"`
 	Order      *order      `cbor:"10,keyasint,omitempty"`
 	Outcome    *outcome    `cbor:"11,keyasint,omitempty"`
+	Seat       *seat       `cbor:"12,keyasint,omitempty"`
 }
 
 // barrier is the first command of a leader. It must be applied before the leader acts. Afterwards
@@ -126,6 +127,8 @@
 		return m.order(c.Order)
 	case c.Outcome != nil:
 		return m.outcome(c.Outcome)
+	case c.Seat != nil:
+		return m.seat(c.Seat)
 	default:
 		return errors.New("command is empty or of a newer version")
 	}
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -4,6 +4,7 @@
 	"errors"
 	"maps"
 
+	"github.com/citronrun/citronrun/internal/placement"
 	"github.com/citronrun/citronrun/internal/promotion"
 )
 
@@ -58,6 +59,13 @@
 	Target  string `cbor:"4,keyasint"`
 }
 
+// seat records the process that gets the lease of a target.
+type seat struct {
+	Leader uint64           `cbor:"1,keyasint"` // consensus term of the proposer
+	Target string           `cbor:"2,keyasint"`
+	Record placement.Record `cbor:"3,keyasint"`
+}
+
 var errNewer = errors.New("a later process of the target is registered")
 
 // Group returns the state of the targets of a service; the zero value if nothing is recorded.
@@ -81,6 +89,21 @@
 	return names
 }
 
+// Seats returns the recorded holders of targets.
+func (m *Machine) Seats() map[string]placement.Record {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return maps.Clone(m.seats)
+}
+
+func (m *Machine) seat(s *seat) error {
+	if s.Leader != m.leaderTerm || s.Record.Epoch <= m.seats[s.Target].Epoch {
+		return errStale
+	}
+	m.seats[s.Target] = s.Record
+	return nil
+}
+
 // editGroup returns a copy of a group to change, and a function that stores it.
 func (m *Machine) editGroup(service string) (*Group, func()) {
 	g := Group{}
@@ -114,6 +137,7 @@
 				continue
 			}
 			delete(g.Members, name)
+			delete(m.seats, name)
 		}
 	}
 	g.Members[r.Target] = r.Member
@@ -124,6 +148,7 @@
 func (m *Machine) drop(service, target string) {
 	g, store := m.editGroup(service)
 	delete(g.Members, target)
+	delete(m.seats, target)
 	store()
 }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -42,6 +42,7 @@
 	registered map[string]*registered // targets that have registered at this leader
 	groups     map[string]*group      // by service
 	avoided    map[avoidance]time.Time
+	assigning  map[string]bool    // targets whose next holder is being recorded
 	routes     []wire.TargetRoute // as of routesVersion
 	version    uint64             // of routes
 
@@ -60,7 +61,8 @@
 	since    time.Time // first renewal of this process
 	seen     time.Time
 	revision uint64
-	sequence uint64 // of the latest renewal
+	started  time.Time // of the process, as its renewals say
+	sequence uint64    // of the latest renewal
 }
 
 // service is the volatile state of a service.
@@ -87,7 +89,8 @@
 		targets:  map[string]announced{},
 		drains:   map[string]string{},
 
-		seats:      placement.NewTable(since, term),
+		seats:      placement.NewTable(since, term, nil),
+		assigning:  map[string]bool{},
 		registered: map[string]*registered{},
 		groups:     map[string]*group{},
 		avoided:    map[avoidance]time.Time{},
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/lease"
+	"github.com/citronrun/citronrun/internal/placement"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -48,7 +49,8 @@
 	config     Configuration
 	decode     DecodeFunc
 	services   map[string]*Service
-	groups     map[string]*Group // by service
+	groups     map[string]*Group           // by service
+	seats      map[string]placement.Record // by target
 	leaderTerm uint64
 	routes     uint64 // log index of the last change of any owner
 	view       View
@@ -62,7 +64,7 @@
 
 // NewMachine returns an empty machine around an empty configuration.
 func NewMachine(config Configuration, decode DecodeFunc) (*Machine, error) {
-	m := &Machine{config: config, decode: decode, services: map[string]*Service{}, groups: map[string]*Group{}}
+	m := &Machine{config: config, decode: decode, services: map[string]*Service{}, groups: map[string]*Group{}, seats: map[string]placement.Record{}}
 	if err := m.refresh(); err != nil {
 		return nil, err
 	}
@@ -171,6 +173,8 @@
 	LeaderTerm uint64              `cbor:"3,keyasint"`
 	Routes     uint64              `cbor:"4,keyasint"`
 	Groups     map[string]*Group   `cbor:"5,keyasint"`
+
+	Seats map[string]placement.Record `cbor:"6,keyasint"`
 }
 
 // Snapshot encodes the whole state as CBOR.
@@ -182,7 +186,7 @@
 		return nil, fmt.Errorf("encode catalog: %w", err)
 	}
 	return wire.Marshal(snapshot{
-		Config: config, Services: m.services, Groups: m.groups, LeaderTerm: m.leaderTerm, Routes: m.routes,
+		Config: config, Services: m.services, Groups: m.groups, Seats: m.seats, LeaderTerm: m.leaderTerm, Routes: m.routes,
 	})
 }
 
@@ -207,6 +211,10 @@
 	if m.groups == nil {
 		m.groups = map[string]*Group{}
 	}
+	m.seats = s.Seats
+	if m.seats == nil {
+		m.seats = map[string]placement.Record{}
+	}
 	m.leaderTerm = s.LeaderTerm
 	m.routes = s.Routes
 	return m.refresh()
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/citronrun/citronrun/internal/catalog"
@@ -10,6 +11,9 @@
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
+// errOutdated means that a message comes from a process that has a successor on the same host.
+var errOutdated = errors.New("a later process of the host has renewed")
+
 func (s *Server) renew(ctx context.Context, peer string, req *wire.Renew) (*wire.RenewReply, error) {
 	if peer != req.Host {
 		return nil, errImpostor
@@ -25,6 +29,9 @@
 	if s.lead != lead {
 		return s.notLeader(), nil
 	}
+	if h := lead.hosts[req.Host]; h != nil && h.boot != req.BootID && now.Add(-req.Uptime).Before(h.started) {
+		return nil, errOutdated
+	}
 	renewals.Inc()
 	s.noteHost(lead, now, req)
 	s.noteReturns(lead, now, req)
@@ -45,9 +52,10 @@
 func (s *Server) noteHost(lead *leader, now time.Time, req *wire.Renew) {
 	h := lead.hosts[req.Host]
 	if h == nil || h.boot != req.BootID {
-		h = &host{boot: req.BootID, since: now}
+		h = &host{boot: req.BootID, since: now, started: now.Add(-req.Uptime)}
 		lead.hosts[req.Host] = h
 		lead.cached = nil
+		lead.seats.Restarted(req.Host, req.BootID)
 	}
 	if h.draining != req.Draining || h.entry != req.Entry {
 		lead.cached = nil
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/placement"
 	"github.com/citronrun/citronrun/internal/ratelimit"
 	"github.com/citronrun/citronrun/internal/transport"
 	"github.com/citronrun/citronrun/internal/wire"
@@ -226,6 +227,7 @@
 	takeovers.Inc()
 	lead.ready = true
 	lead.readyAt = s.Clock.Now()
+	lead.seats = placement.NewTable(lead.since, lead.term, s.Machine.Seats())
 }
 
 // propose commits a command other than a change. A command without effect is an error.
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -22,6 +22,8 @@
 	// registrationLapse is the silence of a target, in registrations and at its holder, after which it
 	// is no longer a member of its group. Until then it counts among the replicas that may hold a commit.
 	registrationLapse = 8 * time.Second
+	// hearSeats is how long a new leader waits for renewals of all hosts before it assigns targets.
+	hearSeats = 400 * time.Millisecond
 	// spareConnections of each target are left to the leader's own questions.
 	spareConnections = 1
 	// avoidTime is how long a host that doesn't reach a target gets no lease of it.
@@ -200,7 +202,7 @@
 		return // overtaken by a later renewal: what it claims is outdated
 	}
 	h.sequence = req.Sequence
-	lead.seats.Claim(now, req.Host, req.BootID, req.Targets)
+	lead.seats.Claim(req.Host, req.BootID, req.Targets)
 	s.noteHealth(lead, now, req)
 	s.placeTargets(lead, now)
 	s.grantTargets(lead, now, reply, req)
@@ -317,7 +319,7 @@
 // placeTargets gives targets without a holder to hosts, and releases those that should move.
 func (s *Server) placeTargets(lead *leader, now time.Time) {
 	hosts := lead.seatHosts(now)
-	if len(hosts) == 0 || now.Sub(lead.readyAt) < hearHosts {
+	if len(hosts) == 0 || now.Sub(lead.readyAt) < hearSeats {
 		return
 	}
 	d := s.Machine.Catalog().Catalog.Deployment
@@ -357,7 +359,7 @@
 		}
 		return
 	}
-	if !lead.seats.Free(now, target) {
+	if lead.assigning[target] || !lead.seats.Free(now, target) {
 		return
 	}
 	h := placement.Choose(hosts, member.Place, avoid)
@@ -365,9 +367,25 @@
 		return
 	}
 	h.Seats++
-	lead.seats.Assign(now, target, h.Name, h.Boot)
-	_ = level.Info(s.Logger).Log("msg", "target lease assigned", "target", target, "holder", h.Name, "place", member.Place)
-	s.poke(lead, h.Name)
+	s.assignTarget(lead, target, placement.Record{Host: h.Name, Boot: h.Boot, Epoch: lead.seats.NextEpoch()})
+}
+
+// assignTarget records the next holder of a free target, and then gives it the seat.
+func (s *Server) assignTarget(lead *leader, target string, r placement.Record) {
+	lead.assigning[target] = true
+	s.background(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+		err := s.propose(ctx, command{Seat: &seat{Leader: lead.term, Target: target, Record: r}})
+		cancel()
+		_ = level.Info(s.Logger).Log("msg", "target lease assigned", "target", target, "holder", r.Host, "epoch", r.Epoch, "err", err)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(lead.assigning, target)
+		if err == nil {
+			lead.seats.Assign(s.Clock.Now(), target, r)
+			s.poke(lead, r.Host)
+		}
+	})
 }
 
 // seatHosts returns the hosts that may hold target leases.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -3,8 +3,8 @@
 // A target's lease gives its holder the right to open connections to it, so that hosts share a
 // target's few connections without counting them together. The holder of a service's primary also
 // has the right to do work that needs the primary; a promotion waits for the end of that right. The
-// table lives for one leadership: a new leader takes over what holders claim, and treats any other
-// lease as held until leases of its predecessor have expired.
+// table lives for one leadership. Each holder is recorded in the replicated log before its lease is
+// granted, so that a new leader knows who may hold leases of its predecessor.
 package placement
 
 import (
@@ -16,12 +16,16 @@
 
 const epochShift = 32 // an epoch is the leader's term and a counter of this many bits
 
+// Record is the replicated state of a seat: the process that may hold the lease of a target.
+type Record struct {
+	Host  string `cbor:"1,keyasint"`
+	Boot  string `cbor:"2,keyasint"` // process of the host
+	Epoch uint64 `cbor:"3,keyasint"`
+}
+
 // Seat is the lease of one target.
 type Seat struct {
-	Host  string
-	Boot  string // process of the host
-	Epoch uint64
-
+	Record
 	granted      bool // an answer with the lease was sent
 	releasing    bool // not renewed any more
 	until        time.Time
@@ -34,18 +38,19 @@
 
 // Table holds the seats of one leadership. It is not safe for concurrent use.
 type Table struct {
-	quarantine time.Time // until then leases of an earlier leader may be valid
-	lastEpoch  uint64
-	seats      map[string]*Seat
+	lastEpoch uint64
+	seats     map[string]*Seat
 }
 
-// NewTable returns the table of a leader that was elected at the given time in the given term.
-func NewTable(elected time.Time, term uint64) *Table {
-	return &Table{
-		quarantine: elected.Add(lease.Hold),
-		lastEpoch:  term << epochShift,
-		seats:      map[string]*Seat{},
+// NewTable returns the table of a leader that was elected at the given time in the given term. Records
+// are those of its predecessors, by target; their leases may be valid for some time yet.
+func NewTable(elected time.Time, term uint64, records map[string]Record) *Table {
+	t := &Table{lastEpoch: term << epochShift, seats: map[string]*Seat{}}
+	until := elected.Add(lease.Hold)
+	for target, r := range records {
+		t.seats[target] = &Seat{Record: r, granted: true, until: until, hasPrimary: true, primaryUntil: until}
 	}
+	return t
 }
 
 // Seat returns the seat of a target, or nil.
@@ -65,11 +70,10 @@
 // Claim notes all leases that a process of a host holds. A lease that was granted and isn't claimed has
 // been given back, because the process sends a renewal only after it took over, or gave up, the answer
 // to the one before.
-func (t *Table) Claim(now time.Time, host, boot string, held []wire.TargetHeld) {
+func (t *Table) Claim(host, boot string, held []wire.TargetHeld) {
 	claimed := map[string]wire.TargetHeld{}
 	for _, h := range held {
 		claimed[h.Target] = h
-		t.adopt(now, host, boot, h)
 	}
 	for target, s := range t.seats {
 		if s.Host != host || s.Boot != boot || !s.granted {
@@ -84,14 +88,12 @@
 	}
 }
 
-// adopt takes over a lease that an earlier leader granted.
-func (t *Table) adopt(now time.Time, host, boot string, h wire.TargetHeld) {
-	if t.seats[h.Target] != nil || !now.Before(t.quarantine) || h.Epoch > t.lastEpoch {
-		return
-	}
-	t.seats[h.Target] = &Seat{
-		Host: host, Boot: boot, Epoch: h.Epoch, granted: true,
-		until: t.quarantine, hasPrimary: h.Primary, primaryUntil: t.quarantine,
+// Restarted frees the seats that an earlier process of a host held.
+func (t *Table) Restarted(host, boot string) {
+	for target, s := range t.seats {
+		if s.Host == host && s.Boot != boot {
+			delete(t.seats, target)
+		}
 	}
 }
 
@@ -122,10 +124,7 @@
 // Free reports whether no host can hold the lease of a target, and forgets an expired seat.
 func (t *Table) Free(now time.Time, target string) bool {
 	s := t.seats[target]
-	if s == nil {
-		return !now.Before(t.quarantine)
-	}
-	if now.Before(s.until) {
+	if s != nil && now.Before(s.until) {
 		return false
 	}
 	delete(t.seats, target)
@@ -135,16 +134,19 @@
 // PrimaryFree reports whether no host can do work that needs a target as its primary.
 func (t *Table) PrimaryFree(now time.Time, target string) bool {
 	s := t.seats[target]
-	if s == nil {
-		return !now.Before(t.quarantine)
-	}
-	return !s.hasPrimary || !now.Before(s.primaryUntil)
+	return s == nil || !s.hasPrimary || !now.Before(s.primaryUntil)
 }
 
-// Assign gives a free target to a process. The seat lapses unless the process renews it in time.
-func (t *Table) Assign(now time.Time, target, host, boot string) {
+// NextEpoch returns the epoch for the record of a target's next holder.
+func (t *Table) NextEpoch() uint64 {
 	t.lastEpoch++
-	t.seats[target] = &Seat{Host: host, Boot: boot, Epoch: t.lastEpoch, until: now.Add(lease.FirstRenewal)}
+	return t.lastEpoch
+}
+
+// Assign gives a free target to the process that was recorded for it. The seat lapses unless the process
+// renews it in time.
+func (t *Table) Assign(now time.Time, target string, r Record) {
+	t.seats[target] = &Seat{Record: r, until: now.Add(lease.FirstRenewal)}
 }
 
 // Release stops the renewal of a target's lease.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -115,6 +115,7 @@
 	LotsHeld map[string]LotHeld `cbor:"14,keyasint,omitempty"` // team: lots in hand
 
 	Sequence       uint64         `cbor:"15,keyasint"`           // of this process, grows with each renewal
+	Uptime         time.Duration  `cbor:"19,keyasint"`           // of this process
 	Targets        []TargetHeld   `cbor:"16,keyasint,omitempty"` // all target leases in hand
 	Health         []TargetHealth `cbor:"17,keyasint,omitempty"` // of held targets, those that aren't well
 	TargetsVersion uint64         `cbor:"18,keyasint,omitempty"` // of the target routes, of LeaderTerm
