Lend part of the burst at once after a restart

Cause: a leader that doesn't know when its predecessor was elected lent no token for 2.2 s, and all requests were refused as over the rate.

Change: with a deployment a new leader always counts three quarters of the burst as outstanding and lends the rest; the users' slack covers lots of two earlier leaders.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -192,7 +192,9 @@
 	if s.lead != nil && s.lead.term == term {
 		return
 	}
-	calm := s.otherTerm != 0 && since.Sub(s.otherSeen) >= ratelimit.LotHold
+	// With a deployment the users allow some slack, which covers the case that lots of two earlier
+	// leaders are outstanding. Waiting for their end would refuse all teams for 2 s after a restart.
+	calm := s.Targets != nil || s.otherTerm != 0 && since.Sub(s.otherSeen) >= ratelimit.LotHold
 	lead := newLeader(since, term, calm)
 	s.lead = lead
 	s.background(func() { s.takeOver(lead) })
