Compress large messages and log entries

Cause: each change of a configuration with hundreds of routes crossed the places in plain form to every control host and entry host.

--- a/internal/agent/ask.go
+++ b/internal/agent/ask.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/pack"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -62,6 +63,9 @@
 	if err != nil {
 		return result, verdict.New(verdict.NotRun, verdict.CodeInvalidParameter, "encode change: %w", err)
 	}
+	if data, err = pack.Pack(data); err != nil {
+		return result, verdict.New(verdict.NotRun, verdict.CodeInvalidParameter, "pack change: %w", err)
+	}
 	err = a.askFor(ctx, changeTimeout, func(ctx context.Context, addr string) (referral, error) {
 		var reply wire.ChangeReply
 		if err := a.Transport.Call(ctx, addr, wire.KindChange, wire.ChangeRequest{Change: data}, &reply); err != nil {
--- a/internal/catalog/deployment.go
+++ b/internal/catalog/deployment.go
@@ -20,8 +20,6 @@
 	// Source is the author's document, which can be read back whole. It may hold keys and stays at control
 	// hosts.
 	Source []byte `cbor:"6,keyasint" json:"-"`
-	// Digest identifies the author's document, keys included.
-	Digest [sha256.Size]byte `cbor:"7,keyasint" json:"-"`
 }
 
 // Route leads callers that ask for a database name to a service.
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/apimachinery/pkg/labels"
 
+	"github.com/citronrun/citronrun/internal/pack"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -55,9 +56,13 @@
 	return s, nil
 }
 
-// DecodeSnapshot compiles a catalog encoded with Encode.
+// DecodeSnapshot compiles a catalog encoded with Encode, which may be packed.
 func DecodeSnapshot(data []byte) (*Snapshot, error) {
 	c := emptyCatalog()
+	data, err := pack.Unpack(data, wire.MaxSnapshotBytes)
+	if err != nil {
+		return nil, fmt.Errorf("unpack catalog: %w", err)
+	}
 	if err := wire.Unmarshal(data, &c); err != nil {
 		return nil, fmt.Errorf("decode catalog: %w", err)
 	}
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -7,6 +7,7 @@
 
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/lease"
+	"github.com/citronrun/citronrun/internal/pack"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -90,6 +91,10 @@
 // error that says why the command had no effect.
 func (m *Machine) Apply(index uint64, data []byte) any {
 	var c command
+	data, err := pack.Unpack(data, wire.MaxSnapshotBytes)
+	if err != nil {
+		return fmt.Errorf("unpack command: %w", err)
+	}
 	if err := wire.Unmarshal(data, &c); err != nil {
 		return fmt.Errorf("decode command: %w", err)
 	}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/lease"
+	"github.com/citronrun/citronrun/internal/pack"
 	"github.com/citronrun/citronrun/internal/placement"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -56,10 +57,13 @@
 	view       View
 }
 
+// maxStateBytes bounds the whole state once it is unpacked.
+const maxStateBytes = 16 << 20
+
 // View is an immutable copy of the catalog.
 type View struct {
 	Catalog catalog.Catalog
-	Encoded []byte // CBOR of Catalog as hosts get it
+	Encoded []byte // CBOR of Catalog as hosts get it, packed
 }
 
 // NewMachine returns an empty machine around an empty configuration.
@@ -83,13 +87,17 @@
 		return fmt.Errorf("copy catalog: %w", err)
 	}
 	if c.Deployment != nil {
-		lean := *c.Deployment
-		lean.Source = nil // hosts need no document to read back
-		c.Deployment = &lean
+		d := *c.Deployment
+		d.Source = nil // hosts need no document to read back
+		c.Deployment = &d
 	}
-	if view.Encoded, err = wire.Marshal(c); err != nil {
+	lean, err := wire.Marshal(c)
+	if err != nil {
 		return fmt.Errorf("encode catalog for hosts: %w", err)
 	}
+	if view.Encoded, err = pack.Pack(lean); err != nil {
+		return fmt.Errorf("pack catalog for hosts: %w", err)
+	}
 	m.view = view
 	return nil
 }
@@ -185,14 +193,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode catalog: %w", err)
 	}
-	return wire.Marshal(snapshot{
+	data, err := wire.Marshal(snapshot{
 		Config: config, Services: m.services, Groups: m.groups, Seats: m.seats, LeaderTerm: m.leaderTerm, Routes: m.routes,
 	})
+	if err != nil {
+		return nil, err
+	}
+	return pack.Pack(data)
 }
 
 // Restore replaces the whole state by an encoded one.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
+	data, err := pack.Unpack(data, maxStateBytes)
+	if err != nil {
+		return fmt.Errorf("unpack control snapshot: %w", err)
+	}
 	if err := wire.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("decode control snapshot: %w", err)
 	}
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -7,6 +7,7 @@
 	"fmt"
 
 	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/pack"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -17,7 +18,11 @@
 		return &wire.ChangeReply{NotLeader: true, LeaderAddr: s.Log.LeaderAddr()}, nil
 	}
 	var change catalog.Change
-	if err := wire.Unmarshal(req.Change, &change); err != nil {
+	data, err := pack.Unpack(req.Change, wire.MaxSnapshotBytes)
+	if err != nil {
+		return nil, fmt.Errorf("unpack change: %w", err)
+	}
+	if err := wire.Unmarshal(data, &change); err != nil {
 		return nil, fmt.Errorf("decode change: %w", err)
 	}
 	if s.MayAccept != nil {
@@ -36,8 +41,7 @@
 		return &wire.ChangeReply{Message: fmt.Sprint(result)}, nil
 	}
 	countChange(string(decided.Code))
-	data, err := wire.Marshal(decided)
-	if err != nil {
+	if data, err = wire.Marshal(decided); err != nil {
 		return nil, fmt.Errorf("encode result: %w", err)
 	}
 	return &wire.ChangeReply{Result: data}, nil
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/pack"
 	"github.com/citronrun/citronrun/internal/placement"
 	"github.com/citronrun/citronrun/internal/ratelimit"
 	"github.com/citronrun/citronrun/internal/transport"
@@ -249,6 +250,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
 	}
+	if data, err = pack.Pack(data); err != nil {
+		return nil, fmt.Errorf("pack command: %w", err)
+	}
 	return s.Log.Propose(ctx, data)
 }
 
--- /dev/null
+++ b/internal/pack/pack.go
@@ -0,0 +1,59 @@
+// Package pack compresses large messages. What it returns for small ones is the message itself.
+package pack
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+)
+
+const (
+	// marker starts a compressed message. No CBOR map or array, which all messages are, starts with it.
+	marker = 0x00
+	// minBytes is the size below which compression doesn't pay.
+	minBytes = 512
+)
+
+// ErrTooLarge means that a message is larger than its limit once it is unpacked.
+var ErrTooLarge = errors.New("packed message exceeds its size limit")
+
+// Pack returns data, compressed if that makes it smaller. Data must not start with a zero byte.
+func Pack(data []byte) ([]byte, error) {
+	if len(data) < minBytes {
+		return data, nil
+	}
+	var out bytes.Buffer
+	out.WriteByte(marker)
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("compress: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress: %w", err)
+	}
+	if out.Len() >= len(data) {
+		return data, nil
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack returns what Pack was given, if it isn't longer than limit bytes.
+func Unpack(data []byte, limit int) ([]byte, error) {
+	if len(data) == 0 || data[0] != marker {
+		return data, nil
+	}
+	r := flate.NewReader(bytes.NewReader(data[1:]))
+	out, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, fmt.Errorf("decompress: %w", err)
+	}
+	if len(out) > limit {
+		return nil, ErrTooLarge
+	}
+	return out, r.Close()
+}
--- /dev/null
+++ b/internal/pack/pack_test.go
@@ -0,0 +1,31 @@
+package pack
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against messages that change on their way, and against a small packet that unpacks to more
+// memory than a host has.
+func TestPack(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{0, 1, minBytes - 1, minBytes, 100_000} {
+		data := bytes.Repeat([]byte{0xa1}, n)
+		packed, err := Pack(data)
+		is.NoErr(err)
+		is.True(len(packed) <= len(data))
+		back, err := Unpack(packed, n)
+		is.NoErr(err)
+		is.True(bytes.Equal(back, data))
+	}
+	packed, err := Pack(bytes.Repeat([]byte{0xa1}, 100_000))
+	is.NoErr(err)
+	is.True(len(packed) < 1000)
+	_, err = Unpack(packed, 99_999)
+	is.True(errors.Is(err, ErrTooLarge))
+	_, err = Unpack([]byte{marker, 1, 2, 3}, 1000)
+	is.True(err != nil)
+}
