--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -13,7 +13,7 @@
 const (
 	// awayCost is what a target in another place costs a read in comparison with a longer wait: two
 	// trips, and bytes on a link that is paid for.
-	awayCost = 40 * time.Millisecond
+	awayCost = 120 * time.Millisecond
 	// primaryCost keeps reads that need no primary away from it, since others do.
 	primaryCost = 15 * time.Millisecond
 	// pendingCost is the expected wait behind each own statement that is under way at a target.
