Act sooner on a lost path to control or to a primary

Cause: entry hosts that were cut off from control stayed ready for 5 s and refused their callers; rate tokens lasted for half a second without a leader; a silent primary was reported at the next renewal after 700 ms only.

Change: a gateway isn't ready after 1.2 s without control; lots cover 1.2 s of demand; holders report bad health every 200 ms, and 500 ms of silence count.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,6 +39,9 @@
 	// Probe answers whether this host reaches a target. Without it every target counts as
 	// unreachable.
 	Probe func(ctx context.Context, p wire.Probe) wire.ProbeReply
+	// LotReserve is the part of the estimated demand of an interval for which rate tokens are borrowed; 0:
+	// ratelimit.DefaultReserve. More lets the host go on for longer while no leader answers.
+	LotReserve float64
 }
 
 // Agent is a host's view of the cluster. Its methods are safe for concurrent use, except that
@@ -99,7 +102,7 @@
 		holder:     lease.NewHolder(),
 		grants:     map[string]wire.LeaseGrant{},
 		returns:    map[string]uint64{},
-		borrower:   ratelimit.NewBorrower(),
+		borrower:   ratelimit.NewBorrower(c.LotReserve),
 		flights:    map[string]*flight{},
 		lastBorrow: map[string]borrowed{},
 		progress:   make(chan struct{}),
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	inspectTimeout = 600 * time.Millisecond // for one target to answer
+	inspectTimeout = 400 * time.Millisecond // for one target to answer
 	orderTimeout   = 2500 * time.Millisecond
 	confirmPeriod  = 2 * time.Second
 	confirmPause   = 50 * time.Millisecond
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -31,7 +31,7 @@
 	// healthFreshness is how long a holder's report about a target counts.
 	healthFreshness = 1500 * time.Millisecond
 	// Bounds of silence and of stuck commits at a primary before it is replaced.
-	silenceBound = 700 * time.Millisecond
+	silenceBound = 500 * time.Millisecond
 	stuckBound   = 1200 * time.Millisecond
 	// firstPrimaryTime is the time for targets of a new group to say which of them is the primary.
 	firstPrimaryTime = 3 * time.Second
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -182,6 +182,8 @@
 		Clock:     clock.Boot{},
 		Logger:    d.logger,
 		Probe:     d.probe,
+
+		LotReserve: d.lotReserve(),
 	})
 	return nil
 }
@@ -244,7 +246,7 @@
 		return errStopping
 	case d.agent.Catalog() == nil:
 		return errors.New("no configuration yet")
-	case d.agent.Confirmed() > entry.MaxUnconfirmed:
+	case d.agent.Confirmed() > d.maxUnconfirmed():
 		return errors.New("the control leader has not confirmed this host in time")
 	}
 	return nil
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -14,8 +14,10 @@
 	"github.com/citronrun/citronrun/internal/agent"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/control"
+	"github.com/citronrun/citronrun/internal/entry"
 	"github.com/citronrun/citronrun/internal/gateway"
 	"github.com/citronrun/citronrun/internal/holder"
+	"github.com/citronrun/citronrun/internal/ratelimit"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -43,6 +45,29 @@
 	Slack control.Slack
 }
 
+const (
+	// gatewayUnconfirmed is the time without control after which a gateway asks for no more callers: its
+	// rate tokens are about to end, and hosts that control reaches can serve them. Two renewals are
+	// missed by then.
+	gatewayUnconfirmed = 1200 * time.Millisecond
+	// gatewayLotReserve covers 1.2 s of a team's demand, the usual time until another leader answers.
+	gatewayLotReserve = 2.4
+)
+
+func (d *Daemon) maxUnconfirmed() time.Duration {
+	if d.options.Deployment != nil {
+		return gatewayUnconfirmed
+	}
+	return entry.MaxUnconfirmed
+}
+
+func (d *Daemon) lotReserve() float64 {
+	if d.options.Deployment != nil {
+		return gatewayLotReserve
+	}
+	return ratelimit.DefaultReserve
+}
+
 // SetControl replaces the seeds from which control hosts are found.
 func (d *Daemon) SetControl(addrs []string) {
 	d.agent.SetControl(addrs)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -81,7 +81,9 @@
 	// a shutdown is 6 s, half of which belongs to open blocks.
 	leaseDrain = 3 * time.Second
 	// minReport is the silence of a target, or the time that a commit waits, which is worth a report.
-	minReport = 500 * time.Millisecond
+	minReport = 300 * time.Millisecond
+	// reportInterval is the time between two reports that travel at once.
+	reportInterval = 200 * time.Millisecond
 	// extraStatements is the number of statements that wait at the target itself, so that its slots stay
 	// busy while answers travel.
 	extraStatements = 1
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -210,7 +210,7 @@
 	}
 	ping := t.grant.Primary && !t.pinging && t.revoked.IsZero() && now.Sub(t.sampleAt) >= sampleInterval
 	t.pinging = t.pinging || ping
-	poke := t.unwell(now) && now.Sub(t.reportedAt) >= minReport
+	poke := t.unwell(now) && now.Sub(t.reportedAt) >= reportInterval
 	if poke {
 		t.reportedAt = now
 	}
--- a/internal/ratelimit/borrower.go
+++ b/internal/ratelimit/borrower.go
@@ -8,14 +8,16 @@
 )
 
 const (
-	demandReserve = 1.25 // lots are this much larger than the estimated demand
+	// DefaultReserve is the part of the estimated demand of an interval that lots cover.
+	DefaultReserve = 1.25
 	demandDecay   = 0.5  // weight of earlier intervals in the estimate
 	minEstimate   = 0.5  // tokens per interval below which a team counts as idle
 )
 
 // Borrower spends the lots of one host. It is not safe for concurrent use.
 type Borrower struct {
-	teams map[string]*holding
+	reserve float64 // part of an interval's estimated demand to ask for
+	teams   map[string]*holding
 }
 
 type holding struct {
@@ -32,8 +34,14 @@
 	until  time.Time
 }
 
-// NewBorrower returns a borrower without lots.
-func NewBorrower() *Borrower { return &Borrower{teams: map[string]*holding{}} }
+// NewBorrower returns a borrower without lots that asks for the given part of an interval's estimated
+// demand; 0: DefaultReserve.
+func NewBorrower(reserve float64) *Borrower {
+	if reserve <= 0 {
+		reserve = DefaultReserve
+	}
+	return &Borrower{reserve: reserve, teams: map[string]*holding{}}
+}
 
 func (b *Borrower) holding(team string) *holding {
 	p := b.teams[team]
@@ -123,7 +131,7 @@
 			p.estimate = 0
 			continue
 		}
-		if want := uint64(math.Ceil(demandReserve * p.estimate)); want > left {
+		if want := uint64(math.Ceil(b.reserve * p.estimate)); want > left {
 			demand[team] = want - left
 		}
 	}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -128,7 +128,7 @@
 		f := &testFleet{now: start, rate: 20, burst: 30, maxRate: 20, maxBurst: 30}
 		for i := range 3 {
 			rate := rapid.Float64Range(0.91, 1.05).Draw(t, "clock rate")
-			f.hosts = append(f.hosts, &testHost{name: fmt.Sprint(i), rate: rate, b: NewBorrower()})
+			f.hosts = append(f.hosts, &testHost{name: fmt.Sprint(i), rate: rate, b: NewBorrower(0)})
 		}
 		f.elect(t)
 		pass := func(t *rapid.T) {
@@ -181,7 +181,7 @@
 	late := k.Lend(start, "h", "t", 4, true)
 	lot := k.Lend(start, "h", "t", 6, true)
 	is.Equal(late.Tokens+lot.Tokens, uint64(7)) // lentShare of the burst; 3 stay in the bucket
-	b := NewBorrower()
+	b := NewBorrower(0)
 	b.Add(start, lot)
 	is.True(b.Take(start, "t", 3))
 	now := start.Add(time.Second)
@@ -202,7 +202,7 @@
 	want := make([]float64, len(demand))
 	got := make([]float64, len(demand))
 	for i := range hosts {
-		hosts[i] = NewBorrower()
+		hosts[i] = NewBorrower(0)
 	}
 	for step := range 2000 {
 		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
