Write logs without blocking and at a bounded rate

Cause: each refused statement wrote a line in the caller's way, and a reader that stops reading would have stopped the process.

Change: lines go through a bounded queue to a writer of their own; each event has a rate, and what was left out is counted. New lines: retries, long queues, statements not completed, control lost and regained, configurations taken over.

--- a/cmd/citrond/main.go
+++ b/cmd/citrond/main.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/daemon"
+	"github.com/citronrun/citronrun/internal/eventlog"
 	"github.com/citronrun/citronrun/internal/settings"
 	"github.com/citronrun/citronrun/platform"
 )
@@ -63,8 +64,10 @@
 	if *onPlatform {
 		logs = out
 	}
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(logs))
-	logger = log.With(level.NewFilter(logger, level.Allow(allowed)), "ts", log.DefaultTimestampUTC)
+	lines := eventlog.NewWriter(logs)
+	defer lines.Close()
+	logger := level.NewFilter(eventlog.Limited(log.NewLogfmtLogger(lines)), level.Allow(allowed))
+	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
 
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -78,6 +78,7 @@
 	leaderTerm    uint64
 	leaderAddr    string   // where the next request goes first
 	next          int      // index into controls for the search
+	reached       bool     // a leader has answered lately, as the log says
 	learned       []string // control hosts that the leader has named
 	sequence      uint64   // of the last renewal
 	targetView    targetState
--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -48,6 +48,7 @@
 // renewOnce sends one renewal, to the presumed leader first and then to the other control hosts.
 func (a *Agent) renewOnce(ctx context.Context) {
 	demand := a.demand()
+	defer a.checkControl()
 	for range len(a.Controls()) + 1 {
 		if ctx.Err() != nil {
 			return
@@ -75,6 +76,31 @@
 	}
 }
 
+// lostControl is the time without an answer of a leader after which control counts as lost.
+const lostControl = 2 * interval
+
+// checkControl notes that no leader has answered for a while.
+func (a *Agent) checkControl() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.Confirmed() >= lostControl {
+		a.noteControl(false)
+	}
+}
+
+// noteControl writes a line when control is lost or regained. a.mu is held.
+func (a *Agent) noteControl(reached bool) {
+	if a.reached == reached {
+		return
+	}
+	a.reached = reached
+	msg := "control lost"
+	if reached {
+		msg = "control regained"
+	}
+	_ = level.Info(a.Logger).Log("msg", msg, "unconfirmed", a.Confirmed().Round(time.Millisecond), "leader", a.leaderAddr, "known", len(a.controls()))
+}
+
 // target returns the control host to ask next.
 func (a *Agent) target() string {
 	a.mu.Lock()
@@ -159,8 +185,12 @@
 		a.mu.Unlock()
 		return
 	}
+	if reply.LeaderTerm > a.leaderTerm {
+		_ = level.Info(a.Logger).Log("msg", "control leader changed", "leader", reply.Leader, "addr", addr, "term", reply.LeaderTerm)
+	}
 	a.leaderTerm = reply.LeaderTerm
 	a.leaderAddr = addr
+	a.noteControl(true)
 	for _, r := range req.Returned {
 		if a.returns[r.Service] == r.Epoch {
 			delete(a.returns, r.Service)
@@ -206,6 +236,8 @@
 	if old := a.catalog.Load(); old == nil || revision(c) > revision(old) {
 		a.catalog.Store(c)
 		catalogsTaken.Inc()
+		_ = level.Info(a.Logger).Log("msg", "configuration taken over", "revision", revision(c), "deployment", c.Deployment().Version(),
+			"leader_term", reply.LeaderTerm)
 	}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -152,7 +152,9 @@
 		}
 		g.metrics.retries.Inc()
 		a.tried[at.Target] = true
-		_ = level.Debug(g.logger).Log("msg", "statement retried", "request", a.st.ID, "database", a.s.database, "target", at.Target, "err", err)
+		_ = level.Info(g.logger).Log("msg", "statement retried", "request", a.st.ID, "session", a.s.id, "database", a.s.database,
+			"kind", a.st.Kind, "team", a.team, "target", at.Target, "holder", at.Holder, "primary", n.primary, "after", n.after,
+			"code", verdict.As(err).Code, "err", verdict.As(err).Message)
 		if n.primary {
 			if g.cfg.Clock.Now().Sub(a.arrived) >= hold || !pause(ctx, retryPause) {
 				return res, at, nil, err
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/citronrun/citronrun/internal/admission"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/statement"
@@ -12,6 +14,9 @@
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
+// longWait is the wait for a slot that is worth a line in the log.
+const longWait = 200 * time.Millisecond
+
 // priorityShare is the share of a queue that a priority level has over the next one.
 const priorityShare = 2.0
 
@@ -28,7 +33,13 @@
 func (t *target) acquire(ctx context.Context, w *wire.Work) (*admission.Ticket, *conn, error) {
 	began := t.m.cfg.Clock.Now()
 	ticket, err := t.gate.Acquire(ctx, w.Team, lane, share(w.Priority), began.Add(w.Timeout))
-	t.m.metrics.queue.Update(t.m.cfg.Clock.Now().Sub(began).Seconds())
+	waited := t.m.cfg.Clock.Now().Sub(began)
+	t.m.metrics.queue.Update(waited.Seconds())
+	if err != nil || waited >= longWait {
+		requests, slots := t.gate.Load(lane)
+		_ = level.Info(t.m.logger).Log("msg", "statement queued long", "request", w.First.ID, "session", w.Session, "team", w.Team,
+			"target", t.name, "waited", waited.Round(time.Millisecond), "timeout", w.Timeout, "queued", requests, "slots", slots, "err", err)
+	}
 	if err != nil {
 		return nil, nil, err
 	}
@@ -79,11 +90,19 @@
 		err = errUnconfirmed()
 	}
 	if err != nil {
+		t.logOutcome(w.First, w.Team, w.Session, err)
 		return failed(err)
 	}
 	return succeeded(res)
 }
 
+// logOutcome writes what a target, or the connection to it, made of a statement that didn't succeed.
+func (t *target) logOutcome(st statement.Statement, team, session string, err error) {
+	e := verdict.As(err)
+	_ = level.Info(t.m.logger).Log("msg", "statement not completed", "request", st.ID, "session", session, "kind", st.Kind,
+		"team", team, "target", t.name, "epoch", t.epoch, "code", e.Code, "verdict", e.Verdict, "err", err)
+}
+
 // broken reports whether an error leaves the connection in an unknown state.
 func broken(err error) bool {
 	if err == nil {
@@ -123,7 +142,8 @@
 	ticket  *admission.Ticket
 	conn    *conn
 	primary bool
-	begin   statement.Kind
+	team    string
+	session string // of the caller, for logs
 	values  map[string]string
 
 	// turn holds one token while a statement runs, so that abort waits for its end.
@@ -143,7 +163,7 @@
 		t.m.metrics.outcome(verdict.As(err).Code)
 		return failed(err), nil
 	}
-	b := &Block{t: t, ticket: ticket, conn: c, primary: w.Primary, begin: w.Begin.Kind, values: w.Values, turn: make(chan struct{}, 1)}
+	b := &Block{t: t, ticket: ticket, conn: c, primary: w.Primary, team: w.Team, session: w.Session, values: w.Values, turn: make(chan struct{}, 1)}
 	t.mu.Lock()
 	t.blocks[b] = struct{}{}
 	t.mu.Unlock()
@@ -211,6 +231,9 @@
 		return failed(aborted(errLeaseEnded))
 	}
 	res, err := b.t.exec(ctx, b.conn, st, position.Position{}, true)
+	if err != nil {
+		b.t.logOutcome(st, b.team, b.session, err)
+	}
 	if st.Kind == statement.Commit {
 		return b.committed(res, err)
 	}
--- a/internal/ratelimit/borrower.go
+++ b/internal/ratelimit/borrower.go
@@ -10,8 +10,8 @@
 const (
 	// DefaultReserve is the part of the estimated demand of an interval that lots cover.
 	DefaultReserve = 1.25
-	demandDecay   = 0.5  // weight of earlier intervals in the estimate
-	minEstimate   = 0.5  // tokens per interval below which a team counts as idle
+	demandDecay    = 0.5 // weight of earlier intervals in the estimate
+	minEstimate    = 0.5 // tokens per interval below which a team counts as idle
 )
 
 // Borrower spends the lots of one host. It is not safe for concurrent use.
