--- /dev/null
+++ b/internal/replica/joining_test.go
@@ -0,0 +1,84 @@
+package replica
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// joinConfig lets hosts find each other from two seeds.
+func joinConfig(bootstrap bool) Config {
+	return Config{Initial: []string{"a", "b"}, Bootstrap: bootstrap, Join: true, MinVoters: 3}
+}
+
+// Guards against two groups that are founded at once, and against hosts beside the seeds that never
+// become members.
+func TestFoundingFromSeeds(t *testing.T) {
+	is := is.New(t)
+	h := newHub()
+	var all []*Replica
+	for _, addr := range []string{"d", "c", "b", "a"} {
+		all = append(all, h.open(t, t.TempDir(), addr, &counter{}, joinConfig(true)))
+	}
+	h.tickUntil(t, func() bool { return voters(all[0]) == 4 && voters(all[3]) == 4 })
+	leader := all[0].Status().Leader
+	for _, r := range all {
+		is.Equal(r.Status().Leader, leader)
+	}
+}
+
+// Guards against a host that votes with an empty memory after its disk was lost, and against one that
+// can't come back.
+func TestLostDisk(t *testing.T) {
+	is := is.New(t)
+	h := newHub()
+	var all []*Replica
+	for _, addr := range []string{"a", "b", "c"} {
+		all = append(all, h.open(t, t.TempDir(), addr, &counter{}, joinConfig(true)))
+	}
+	h.tickUntil(t, func() bool { return voters(all[0]) == 3 && voters(all[2]) == 3 })
+	old := all[2].Status().ID
+	is.NoErr(all[2].Close())
+	delete(h.ticks, "c")
+	fresh := h.open(t, t.TempDir(), "c", &counter{}, joinConfig(false))
+	is.True(fresh.Status().ID != old)
+	is.Equal(voters(fresh), 0) // no vote before it was admitted
+	h.tickUntil(t, func() bool { return voters(fresh) == 3 })
+	for _, m := range fresh.Status().Members {
+		is.True(m.ID != old)
+	}
+}
+
+// Guards against a quorum that counts hosts which are gone for good, and against a host that was removed
+// while it was away and never returns.
+func TestReplacedHost(t *testing.T) {
+	is := is.New(t)
+	h := newHub()
+	sms := map[string]*counter{}
+	var all []*Replica
+	for _, addr := range []string{"a", "b", "c", "d"} {
+		sms[addr] = &counter{}
+		all = append(all, h.open(t, t.TempDir(), addr, sms[addr], joinConfig(true)))
+	}
+	h.tickUntil(t, func() bool { return voters(all[0]) == 4 && voters(all[3]) == 4 })
+	gone := all[3]
+	for _, r := range all {
+		if r.Status().Leader.Addr != "d" {
+			continue
+		}
+		gone = all[2] // keep the leader
+	}
+	addr := "d"
+	if gone == all[2] {
+		addr = "c"
+	}
+	h.mu.Lock()
+	h.down[addr] = true
+	h.mu.Unlock()
+	h.tickUntil(t, func() bool { return voters(all[0]) == 3 })
+	h.mu.Lock()
+	h.down[addr] = false
+	h.mu.Unlock()
+	h.tickUntil(t, func() bool { return voters(all[0]) == 4 })
+	is.Equal(voters(all[1]), 4)
+}
