--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -178,3 +178,12 @@
 	d.start("metrics", func() error { return serveHTTP(d.metricsServer, l) })
 	return nil
 }
+
+// Voters returns the addresses of the control hosts, and whether each has a vote.
+func (d *Daemon) Voters() map[string]bool {
+	out := map[string]bool{}
+	for _, m := range d.replica.Status().Members {
+		out[m.Addr] = !m.Learner
+	}
+	return out
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -47,6 +47,10 @@
 // runInBlock runs a statement of the open block. After an error the block has failed.
 func (s *Session) runInBlock(ctx context.Context, arrived time.Time, st statement.Statement) (statement.Result, error) {
 	b := s.block
+	if b.begin.Kind == statement.BeginRead && st.Kind == statement.Write {
+		s.failBlock()
+		return statement.Result{}, verdict.New(verdict.NotRun, verdict.CodeReadOnly, "the block only reads")
+	}
 	res, err := s.inBlockStatement(ctx, arrived, st)
 	if err != nil {
 		s.failBlock()
