Repeat reads without an answer at the primary in the time that is left

Cause: a read whose answer from the primary was lost was given up after a quarter of the latency objective, and waited for its whole timeout before that.

Failed statements are logged with team and target also outside of blocks.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return statement.Result{}, err
 	}
+	s.team, s.target = team, ""
 	if err := s.takeToken(ctx, team); err != nil {
 		return statement.Result{}, err
 	}
@@ -160,7 +161,10 @@
 			"kind", a.st.Kind, "team", a.team, "target", at.Target, "holder", at.Holder, "primary", n.primary, "after", n.after,
 			"code", verdict.As(err).Code, "err", verdict.As(err).Message)
 		if n.primary {
-			if g.cfg.Clock.Now().Sub(a.arrived) >= hold || !pause(ctx, retryPause) {
+			// An attempt without an answer is repeated in the time that is left, a refusal only as long as it
+			// pays to wait.
+			refused := verdict.Of(err) == verdict.NotRun
+			if refused && g.cfg.Clock.Now().Sub(a.arrived) >= hold || !pause(ctx, retryPause) {
 				return res, at, nil, err
 			}
 			a.tried = map[string]bool{}
@@ -215,12 +219,13 @@
 		w.Block, w.Begin = true, *a.block
 	}
 	limit := left + answerTravel
-	if !n.primary && a.block == nil {
+	if a.st.Kind == statement.Read && a.block == nil {
 		limit = min(limit, hedgeTime+g.router.announced(at.Target))
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := g.cfg.Clock.Now()
+	a.s.team, a.s.target = a.team, at.Target
 	g.router.begin(at.Target)
 	reply, link, err := g.cfg.Link.Start(ctx, at, w)
 	if err != nil {
@@ -257,11 +262,7 @@
 // logFailure writes the line that leads from a caller's request to the cause of its failure.
 func (g *Gateway) logFailure(s *Session, st statement.Statement, arrived time.Time, err error) {
 	e := verdict.As(err)
-	team, target := "", ""
-	if s.block != nil {
-		team, target = s.block.team, s.block.at.Target
-	}
 	_ = level.Info(g.logger).Log("msg", "statement failed", "request", st.ID, "session", s.id, "database", s.database,
-		"kind", st.Kind, "team", team, "target", target, "code", e.Code, "verdict", e.Verdict,
+		"kind", st.Kind, "team", s.team, "target", s.target, "code", e.Code, "verdict", e.Verdict,
 		"took", g.cfg.Clock.Now().Sub(arrived).Round(time.Millisecond), "deployment", g.index().Version(), "err", e.Message)
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -30,6 +30,9 @@
 	floors   map[string]position.Position // of own commits, by service
 	unknown  map[string]bool              // services with a commit of unknown position
 
+	team   string // of the last operation, for logs
+	target string // that the last statement was sent to, for logs
+
 	block   *block // nil outside of a block
 	inBlock atomic.Bool
 }
@@ -201,6 +204,7 @@
 	if err != nil {
 		return err
 	}
+	s.team, s.target = team, ""
 	if err := s.takeToken(ctx, team); err != nil {
 		return err
 	}
