Count silence of a target from its last answer of any kind

Change: silence counts from the last answer of any kind, a stuck commit from the last answered commit.

--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -389,6 +389,21 @@
 	f.clock.Advance(2 * time.Second)
 	is.Equal(f.Health()[0].Stuck, 2*time.Second)
 	is.Equal(f.Health()[0].Silent, time.Duration(0))
-	t1.finish(r)
+	t1.finish(r, true)
 	is.Equal(len(f.Health()), 0)
 }
+
+// Guards against a move of the lease, or a promotion, because a target loses single answers.
+func TestLostAnswersAreNoSilence(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	t1 := f.lookup("db")
+	read, commit := t1.start(false), t1.start(true)
+	for range 10 {
+		f.clock.Advance(200 * time.Millisecond)
+		f.Start(context.Background(), work("t", statement.Write, "x", nil))
+		is.Equal(len(f.Health()), 0)
+	}
+	t1.finish(read, false)
+	t1.finish(commit, false)
+}
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -117,7 +117,7 @@
 	began := t.m.cfg.Clock.Now()
 	r := t.start(commits(st, block))
 	res, err := c.Run(ctx, st, after)
-	t.finish(r)
+	t.finish(r, !broken(err))
 	t.m.metrics.run.Update(t.m.cfg.Clock.Now().Sub(began).Seconds())
 	if broken(err) {
 		if ctx.Err() == nil {
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -45,6 +45,8 @@
 	blocks     map[*Block]struct{}
 	running    map[*running]struct{}
 	failing    time.Time // first failure to reach the target since the last answer; zero: none
+	answered   time.Time // last answer of any kind
+	committed  time.Time // last answer to a commit
 	sample     wire.Sample
 	sampleAt   time.Time // zero: no sample
 	pinging    bool
@@ -115,9 +117,11 @@
 }
 
 func (t *target) heard() {
+	now := t.m.cfg.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.failing = time.Time{}
+	t.answered = now
 }
 
 func (t *target) unheard(since time.Time) {
@@ -250,8 +254,8 @@
 	began := t.m.cfg.Clock.Now()
 	r := t.start(false)
 	pos, err := c.Ping(ctx)
-	t.finish(r)
-	if _, answered := errors.AsType[*verdict.Error](err); err != nil && !answered {
+	t.finish(r, !broken(err))
+	if broken(err) {
 		t.unheard(began)
 		t.conns.drop(c)
 		return
@@ -272,10 +276,14 @@
 	return r
 }
 
-func (t *target) finish(r *running) {
+func (t *target) finish(r *running, answered bool) {
+	now := t.m.cfg.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.running, r)
+	if answered && r.commit {
+		t.committed = now
+	}
 }
 
 // note keeps a position as a sample if this host could do work that needs the primary from since on:
@@ -312,19 +320,20 @@
 	return t.health(t.m.cfg.Clock.Now())
 }
 
+// health counts silence from the last answer of any kind, and a stuck commit from the last commit that was
+// answered: a target that loses single answers is neither silent nor stuck.
 func (t *target) health(now time.Time) wire.TargetHealth {
 	h := wire.TargetHealth{Target: t.name}
 	if !t.failing.IsZero() {
 		h.Silent = now.Sub(t.failing)
 	}
 	for r := range t.running {
-		age := now.Sub(r.since)
-		switch {
-		case age < minReport:
-		case r.commit:
-			h.Stuck = max(h.Stuck, age)
-		default:
-			h.Silent = max(h.Silent, age)
+		since, worst := later(r.since, t.answered), &h.Silent
+		if r.commit {
+			since, worst = later(r.since, t.committed), &h.Stuck
+		}
+		if age := now.Sub(since); age >= minReport {
+			*worst = max(*worst, age)
 		}
 	}
 	if h.Stuck > 0 && t.failing.IsZero() {
@@ -333,6 +342,13 @@
 	return h
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (t *target) unwell(now time.Time) bool {
 	h := t.health(now)
 	return h.Silent >= minReport || h.Stuck >= minReport
