Cut work at a silent primary when it is taken back; target leases of 2 s

The promotion waited 1.6 s for statements that the primary didn't answer, and the leases of the cut hosts for 3.3 s after the election of a new leader.

Change: when the primary is taken back from a holder whose target doesn't answer, running statements end at once as in doubt. Target leases last 2 s; leases of owned services (PostgreSQL side) keep 3 s.

--- a/internal/agent/targets.go
+++ b/internal/agent/targets.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/citronrun/citronrun/internal/lease"
+	"github.com/citronrun/citronrun/internal/placement"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -128,7 +128,7 @@
 		a.targetRoutes.Store(newTargetTable(reply.TargetRoutes))
 	}
 	a.targetView.version = reply.TargetsVersion
-	until := sent.Add(min(reply.LeaseTTL, lease.TTL))
+	until := sent.Add(placement.TTL)
 	granted := map[string]bool{}
 	for _, g := range reply.TargetGrants {
 		h := a.targetView.held[g.Target]
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -19,7 +19,10 @@
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
-var errBroken = errors.New("connection broken")
+var (
+	errBroken = errors.New("connection broken")
+	errHang   = errors.New("no answer before the end of the context")
+)
 
 // fakeTarget is a target that connections of a test reach.
 type fakeTarget struct {
@@ -60,12 +63,15 @@
 	return &fakeConn{t: t, team: team, values: map[string]string{}, prepared: map[string]bool{}}, nil
 }
 
-func (c *fakeConn) Run(_ context.Context, st statement.Statement, _ position.Position) (statement.Result, error) {
+func (c *fakeConn) Run(ctx context.Context, st statement.Statement, _ position.Position) (statement.Result, error) {
 	c.t.mu.Lock()
 	hook := c.t.onRun
 	c.t.mu.Unlock()
 	if hook != nil {
 		if err := hook(st); err != nil {
+			if errors.Is(err, errHang) {
+				<-ctx.Done()
+			}
 			return statement.Result{}, err
 		}
 	}
@@ -346,6 +352,35 @@
 	is.Equal(reply.Code, verdict.CodeAborted)
 }
 
+// Guards against a promotion that waits for statements at a primary that doesn't answer.
+func TestSilentPrimaryTakenBack(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	reached := make(chan struct{})
+	f.target.onRun = func(statement.Statement) error {
+		close(reached)
+		return errHang
+	}
+	answered := make(chan wire.WorkReply, 1)
+	go func() {
+		w := work("t", statement.Write, "x", nil)
+		w.Timeout = time.Minute
+		reply, _ := f.Start(context.Background(), w)
+		answered <- reply
+	}()
+	<-reached
+	f.clock.Advance(time.Second)
+	taken := f.lease
+	taken.Primary = false
+	f.Apply([]Lease{taken})
+	is.Equal(verdict.Verdict((<-answered).Verdict), verdict.MayHaveRun)
+	is.True(eventually(func() bool {
+		f.leases.mu.Lock()
+		defer f.leases.mu.Unlock()
+		return len(f.leases.released) == 1
+	}))
+}
+
 // eventually waits for work in the background, which takes no fake time.
 func eventually(ok func() bool) bool {
 	for range 1000 {
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -50,6 +50,7 @@
 				"epoch", l.Epoch, "primary", l.Primary, "term", l.Term)
 		}
 		t.apply(l)
+		go t.enforce()
 	}
 	for name, t := range m.targets {
 		if !present[name] {
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -70,6 +70,8 @@
 		return failed(err)
 	}
 	defer t.end(w.Primary)
+	ctx, done := t.cuttable(ctx, w.Primary)
+	defer done()
 	ticket, c, err := t.acquire(ctx, &w)
 	if err != nil {
 		t.m.metrics.outcome(verdict.As(err).Code)
@@ -157,6 +159,8 @@
 	if err := t.begin(w.Primary); err != nil {
 		return failed(err), nil
 	}
+	ctx, done := t.cuttable(ctx, w.Primary)
+	defer done()
 	ticket, c, err := t.acquire(ctx, &w)
 	if err != nil {
 		t.end(w.Primary)
@@ -203,6 +207,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(n.Timeout, time.Millisecond))
 	defer cancel()
+	ctx, done := b.t.cuttable(ctx, b.primary)
+	defer done()
 	if err := b.ticket.Resume(ctx); err != nil {
 		b.finish(false)
 		return failed(aborted(err))
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -43,6 +43,7 @@
 	work       int // statements and blocks under way
 	primary    int // of those, the ones that need the primary
 	blocks     map[*Block]struct{}
+	cuts       map[*context.CancelFunc]struct{} // end running work that needs the primary
 	running    map[*running]struct{}
 	failing    time.Time // first failure to reach the target since the last answer; zero: none
 	answered   time.Time // last answer of any kind
@@ -64,6 +65,7 @@
 		m: m, name: l.Target, epoch: l.Epoch,
 		gate:    admission.NewGate(admission.Config{}, m.cfg.Clock),
 		blocks:  map[*Block]struct{}{},
+		cuts:    map[*context.CancelFunc]struct{}{},
 		running: map[*running]struct{}{},
 	}
 	t.conns = &conns{m: m, dial: t.dial}
@@ -159,6 +161,24 @@
 	t.settle()
 }
 
+// cuttable returns a context for a statement that needs the primary, which ends when such work is cut. The
+// returned function must be called once the statement is over.
+func (t *target) cuttable(ctx context.Context, primary bool) (context.Context, func()) {
+	if !primary {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	t.mu.Lock()
+	t.cuts[&cancel] = struct{}{}
+	t.mu.Unlock()
+	return ctx, func() {
+		cancel()
+		t.mu.Lock()
+		delete(t.cuts, &cancel)
+		t.mu.Unlock()
+	}
+}
+
 // valid reports whether work under the lease may go on at this moment.
 func (t *target) valid(primary bool) bool {
 	t.mu.Lock()
@@ -203,15 +223,8 @@
 		t.m.forget(t)
 		return
 	}
+	t.enforce()
 	t.mu.Lock()
-	overdue := !t.revoked.IsZero() && now.Sub(t.revoked) >= leaseDrain
-	primaryOverdue := !t.noPrimary.IsZero() && now.Sub(t.noPrimary) >= primaryDrain
-	var cut []*Block
-	for b := range t.blocks {
-		if overdue || primaryOverdue && b.primary {
-			cut = append(cut, b)
-		}
-	}
 	ping := t.grant.Primary && !t.pinging && t.revoked.IsZero() && now.Sub(t.sampleAt) >= sampleInterval
 	t.pinging = t.pinging || ping
 	poke := t.unwell(now) && now.Sub(t.reportedAt) >= reportInterval
@@ -219,15 +232,37 @@
 		t.reportedAt = now
 	}
 	t.mu.Unlock()
-	for _, b := range cut {
-		b.abort(errLeaseEnded)
-	}
 	if ping {
 		go t.ping(ctx)
 	}
 	if poke {
 		t.m.cfg.Leases.Poke()
 	}
+}
+
+// enforce cuts work that goes on for too long after the leader has taken the lease, or the primary, back,
+// and gives back what no work runs under. A target that doesn't answer ends no work in time, and a
+// promotion waits for it.
+func (t *target) enforce() {
+	now := t.m.cfg.Clock.Now()
+	t.mu.Lock()
+	overdue := !t.revoked.IsZero() && now.Sub(t.revoked) >= leaseDrain
+	primaryOverdue := !t.noPrimary.IsZero() && (now.Sub(t.noPrimary) >= primaryDrain || t.unwell(now))
+	var cut []*Block
+	for b := range t.blocks {
+		if overdue || primaryOverdue && b.primary {
+			cut = append(cut, b)
+		}
+	}
+	if primaryOverdue {
+		for cancel := range t.cuts {
+			(*cancel)()
+		}
+	}
+	t.mu.Unlock()
+	for _, b := range cut {
+		b.abort(errLeaseEnded)
+	}
 	t.settle()
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/citronrun/citronrun/internal/lease"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -28,13 +27,13 @@
 	epoch, ok := table.Renew(start, "db", "a", "1", true)
 	is.True(ok)
 	is.Equal(epoch, r.Epoch)
-	is.True(!table.Free(start.Add(lease.Hold-time.Millisecond), "db"))
-	is.True(!table.PrimaryFree(start.Add(lease.Hold-time.Millisecond), "db"))
+	is.True(!table.Free(start.Add(Hold-time.Millisecond), "db"))
+	is.True(!table.PrimaryFree(start.Add(Hold-time.Millisecond), "db"))
 	table.Release("db")
 	_, ok = table.Renew(start.Add(time.Second), "db", "a", "1", true)
 	is.True(!ok) // released
-	is.True(table.PrimaryFree(start.Add(lease.Hold), "db"))
-	is.True(table.Free(start.Add(lease.Hold), "db"))
+	is.True(table.PrimaryFree(start.Add(Hold), "db"))
+	is.True(table.Free(start.Add(Hold), "db"))
 }
 
 // Guards against a lease that counts as returned because the renewal before its grant didn't name it.
@@ -66,7 +65,7 @@
 	}
 	table := NewTable(start, 3, records)
 	is.True(table.NextEpoch() > 10)
-	now := start.Add(lease.Hold - time.Millisecond)
+	now := start.Add(Hold - time.Millisecond)
 	table.Claim("b", "1", held("kept", 8, true))
 	epoch, ok := table.Renew(now, "kept", "b", "1", true)
 	is.True(ok)
@@ -78,7 +77,7 @@
 	is.True(!table.Free(now, "kept"))
 	is.True(table.Free(now, "restarted"))
 	is.True(table.Free(now, "returned"))
-	is.True(table.Free(start.Add(lease.Hold), "silent"))
+	is.True(table.Free(start.Add(Hold), "silent"))
 }
 
 // Guards against targets that all go to one host, or to one that doesn't reach them.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -14,7 +14,16 @@
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
-const epochShift = 32 // an epoch is the leader's term and a counter of this many bits
+const (
+	// TTL is how long a holder may use a target lease, from the send of its renewal. Another leader answers
+	// within 1.3 s when one is lost, and hosts renew every 500 ms.
+	TTL = 2 * time.Second
+	// Hold is how long the leader waits after a grant or an election before a lease has expired: TTL and
+	// 10% for clocks that run at different speeds.
+	Hold = TTL + TTL/10
+
+	epochShift = 32 // an epoch is the leader's term and a counter of this many bits
+)
 
 // Record is the replicated state of a seat: the process that may hold the lease of a target.
 type Record struct {
@@ -46,7 +55,7 @@
 // are those of its predecessors, by target; their leases may be valid for some time yet.
 func NewTable(elected time.Time, term uint64, records map[string]Record) *Table {
 	t := &Table{lastEpoch: term << epochShift, seats: map[string]*Seat{}}
-	until := elected.Add(lease.Hold)
+	until := elected.Add(Hold)
 	for target, r := range records {
 		t.seats[target] = &Seat{Record: r, granted: true, until: until, hasPrimary: true, primaryUntil: until}
 	}
@@ -106,10 +115,10 @@
 		return 0, false
 	}
 	s.granted = true
-	s.until = later(s.until, now.Add(lease.Hold))
+	s.until = later(s.until, now.Add(Hold))
 	if primary {
 		s.hasPrimary = true
-		s.primaryUntil = later(s.primaryUntil, now.Add(lease.Hold))
+		s.primaryUntil = later(s.primaryUntil, now.Add(Hold))
 	}
 	return s.Epoch, true
 }
