Probe a primary that is silent together with its holder

Change: the leader probes a primary whose registrations and whose holder's renewals are both overdue; an inspection asks replicas and primary at once, the latter for 200 ms.

--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -65,3 +66,22 @@
 	is.Equal(apply(t, restored, 6, command{Unregister: &unregister{Service: "s", Target: "a", Born: 100}}), nil)
 	is.Equal(len(restored.Seats()), 0)
 }
+
+// Guards against a lost primary that the leader takes for well until the next holder has noticed, and
+// against a promotion because only the holder or only the registrations are missing.
+func TestPrimaryLostWithItsHolder(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	lead := newLeader(start, 1, true)
+	lead.seats.Assign(start, "db", placement.Record{Host: "h", Boot: "1", Epoch: 1})
+	lead.hosts["h"] = &host{boot: "1", seen: start}
+	lead.registered["db"] = &registered{seen: start}
+	is.True(!lead.unheard(start.Add(registrationDue-1), "db"))
+	now := start.Add(registrationDue)
+	is.True(lead.unheard(now, "db"))
+	lead.hosts["h"].seen = now
+	is.True(!lead.unheard(now, "db"))
+	lead.hosts["h"].seen = start
+	lead.registered["db"].seen = now
+	is.True(!lead.unheard(now, "db"))
+}
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -15,6 +15,7 @@
 
 const (
 	inspectTimeout = 400 * time.Millisecond // for one target to answer
+	primaryTimeout = 200 * time.Millisecond // for a primary that may be lost, in an inspection
 	orderTimeout   = 2500 * time.Millisecond
 	confirmPeriod  = 2 * time.Second
 	confirmPause   = 50 * time.Millisecond
@@ -120,9 +121,21 @@
 		in.Silent = h.Silent >= silenceBound
 		in.Stuck = h.Stuck >= stuckBound
 	}
+	in.Silent = in.Silent || lead.unheard(now, state.Primary)
 	return in
 }
 
+// unheard reports whether both a target and the holder of its lease have been silent for so long that they
+// may be lost together. A probe then decides; without it the next holder would have to find out.
+func (l *leader) unheard(now time.Time, target string) bool {
+	seat, r := l.seats.Seat(target), l.registered[target]
+	if seat == nil || r == nil || now.Sub(r.seen) < registrationDue {
+		return false
+	}
+	h := l.hosts[seat.Host]
+	return h == nil || now.Sub(h.seen) >= renewalDue
+}
+
 // promotionAction carries out an action in the background.
 func (s *Server) promotionAction(lead *leader, now time.Time, service string, state Group, g *group, action promotion.Action) {
 	ref := func(target string) TargetRef {
@@ -201,15 +214,15 @@
 	})
 }
 
-// inspect pauses the replicas, then asks the primary, and chooses the target to promote. still is set
+// inspect pauses the replicas, asks the primary whether it can go on, and chooses the target to promote. still is set
 // when nothing has to change.
 func (s *Server) inspect(ctx context.Context, service string, state Group, leaving map[string]bool, stuck bool) (choice string, still bool) {
 	reports := make([]promotion.Report, 0, len(state.Members))
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	ask := func(target string, f func(context.Context, TargetRef) (TargetState, error)) {
+	ask := func(target string, limit time.Duration, f func(context.Context, TargetRef) (TargetState, error)) {
 		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+			ctx, cancel := context.WithTimeout(ctx, limit)
 			defer cancel()
 			st, err := f(ctx, TargetRef{Service: service, Target: target, Addr: state.Members[target].Addr})
 			r := promotion.Report{Target: target, Leaving: leaving[target]}
@@ -225,14 +238,13 @@
 	}
 	for target := range state.Members {
 		if target != state.Primary {
-			ask(target, s.Targets.Pause)
+			ask(target, inspectTimeout, s.Targets.Pause)
 		}
 	}
-	wg.Wait()
 	if _, ok := state.Members[state.Primary]; ok {
-		ask(state.Primary, s.Targets.State)
-		wg.Wait()
+		ask(state.Primary, primaryTimeout, s.Targets.State)
 	}
+	wg.Wait()
 	choice, still = s.choose(service, state, reports, leaving, stuck)
 	_ = level.Info(s.Logger).Log("msg", "promotion considered", "service", service, "primary", state.Primary,
 		"candidate", state.Candidate, "choice", choice, "still_primary", still)
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -33,6 +33,10 @@
 	// Bounds of silence and of stuck commits at a primary before it is replaced.
 	silenceBound = 500 * time.Millisecond
 	stuckBound   = 1200 * time.Millisecond
+	// Silence of a target that registers every 1.2 s, and of a host that renews every 500 ms, after which
+	// both may be lost.
+	registrationDue = 2 * time.Second
+	renewalDue      = 1200 * time.Millisecond
 	// firstPrimaryTime is the time for targets of a new group to say which of them is the primary.
 	firstPrimaryTime = 3 * time.Second
 )
