Confirm reads of control under a leader lease

Cause: each renewal, borrow and read of the configuration, 72 a second, started a heartbeat round of its own to all control hosts; these rounds were most of the bytes of control between places.

Change: periodic heartbeat rounds are counted; for 250 ms from the sending of a round that a quorum has answered, the leader answers without another one. The time is taken from a clock that counts suspended time. Members ignore votes for 250 ms after their start, and a leader that tried a transfer has no lease in that term. Borrows between renewals follow the reserve. TestOlderTermIsNotCommittedByCounting ticks its member past the start first, since its first vote would be ignored otherwise; its checks are the same.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -85,6 +85,7 @@
 	n.round = 0
 	n.heartbeatTicks = 0
 	n.transferTo = 0
+	n.transferred = false
 	n.syncProgress()
 	n.appendOwn(Entry{Kind: EntryEmpty})
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -37,6 +37,7 @@
 	elapsed     int // ticks since the election timer was reset
 	timeout     int // election timeout in ticks
 	sinceLeader int // ticks since the last message of a current leader
+	started     int // ticks since New, up to LeaseTicks
 	votes       map[uint64]bool
 	force       bool // the running election was requested by the leader
 
@@ -44,6 +45,7 @@
 	heartbeatTicks int
 	transferTo     uint64
 	transferTicks  int
+	transferred    bool // a transfer was tried in this term
 
 	round   uint64 // last heartbeat round
 	waiting []uint64
@@ -72,6 +74,9 @@
 		sinceLeader: ElectionMaxTicks,
 		savedHard:   cfg.Hard,
 	}
+	if cfg.Hard.Term <= cfg.Snapshot.Term && len(cfg.Entries) == 0 {
+		n.started = LeaseTicks // this member has never heard from a leader
+	}
 	n.log.reset(cfg.Snapshot.Index, cfg.Snapshot.Term)
 	for i, e := range cfg.Entries {
 		if e.Index != cfg.Snapshot.Index+uint64(i)+1 {
@@ -100,6 +105,7 @@
 // Tick advances the node's time by TickMillis.
 func (n *Node) Tick() {
 	n.sinceLeader = min(n.sinceLeader+1, ElectionMaxTicks)
+	n.started = min(n.started+1, LeaseTicks)
 	if n.role == Leader {
 		n.tickLeader()
 		return
@@ -130,7 +136,7 @@
 // Ready returns the pending work. Advance must be called once it is done.
 func (n *Node) Ready() Ready {
 	if n.role == Leader {
-		n.startReadRound(false)
+		n.startReadRound()
 		n.replicateAll()
 	}
 	r := Ready{
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -18,24 +18,51 @@
 }
 
 // startReadRound assigns the waiting reads to a new heartbeat round. At most one round started by
-// reads is in flight; reads that arrive meanwhile share the next one. force starts a round even if
-// the previous one is unanswered, because its messages may be lost.
-func (n *Node) startReadRound(force bool) {
-	if len(n.waiting) == 0 || !n.committedInTerm() {
+// reads is in flight; reads that arrive meanwhile share the next one.
+func (n *Node) startReadRound() {
+	if len(n.waiting) == 0 || !n.committedInTerm() || len(n.reads) > 0 {
 		return
 	}
-	if len(n.reads) > 0 && !force {
-		return
+	n.round++
+	n.assignReads()
+	if len(n.reads) > 0 {
+		n.broadcastHeartbeat()
 	}
+}
+
+// beat starts the periodic heartbeat round. Reads that wait join it, also if an earlier round is
+// unanswered, because its messages may be lost.
+func (n *Node) beat() {
 	n.round++
+	if n.committedInTerm() {
+		n.assignReads()
+	}
+	n.broadcastHeartbeat()
+}
+
+func (n *Node) assignReads() {
 	for _, id := range n.waiting {
 		n.reads = append(n.reads, pendingRead{id: id, index: n.log.commit, round: n.round})
 	}
 	n.waiting = nil
 	n.confirmReads()
-	if len(n.reads) > 0 {
-		n.broadcastHeartbeat()
+}
+
+// Round returns the number of the last heartbeat round that this leader has started in its term.
+func (n *Node) Round() uint64 { return n.round }
+
+// LeaseRound returns the latest heartbeat round that a quorum has answered, for a leader whose commit
+// index is current. For LeaseTicks from the moment that the round was sent no other member can have been
+// elected. It is 0 without such a round, and after a transfer was tried: the receiver may start an
+// election that nobody ignores.
+func (n *Node) LeaseRound() uint64 {
+	if n.role != Leader || n.transferred || !n.committedInTerm() {
+		return 0
+	}
+	if own := n.progress[n.id]; own != nil {
+		own.round = n.round
 	}
+	return n.quorumValue(func(pr *progress) uint64 { return pr.round })
 }
 
 func (n *Node) broadcastHeartbeat() {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -40,8 +40,7 @@
 	n.heartbeatTicks++
 	if n.heartbeatTicks >= HeartbeatTicks {
 		n.heartbeatTicks = 0
-		n.startReadRound(true)
-		n.broadcastHeartbeat()
+		n.beat()
 	}
 }
 
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -44,6 +44,9 @@
 func TestOlderTermIsNotCommittedByCounting(t *testing.T) {
 	is := is.New(t)
 	n := memberOf(t, 5, 2, 2) // entry 2 of term 2; another member's entry 2 has term 3
+	for range LeaseTicks {
+		n.Tick() // until then a restarted member ignores votes
+	}
 	is.NoErr(n.Step(Message{Kind: MsgVote, From: 5, To: 1, Term: 3, Index: 1, LogTerm: 1}))
 	for n.Status().Role != PreCandidate {
 		n.Tick()
@@ -95,3 +98,75 @@
 		})
 	}
 }
+
+// Guards against a member that helps to elect a leader right after its restart, although it may have told
+// another one before that it follows.
+func TestRestartedMemberIgnoresVotes(t *testing.T) {
+	is := is.New(t)
+	n := memberOf(t, 3, 2, 2)
+	vote := Message{Kind: MsgVote, From: 2, To: 1, Term: 3, Index: 9, LogTerm: 2}
+	for range LeaseTicks - 1 {
+		n.Tick()
+		is.NoErr(n.Step(vote))
+		is.Equal(len(drain(n)), 0)
+	}
+	n.Tick()
+	is.NoErr(n.Step(vote))
+	sent := drain(n)
+	is.Equal(len(sent), 1)
+	is.True(!sent[0].Reject)
+}
+
+// leaderOf returns a leader of three members in term 3 whose first entry, at index 3, isn't committed yet.
+func leaderOf(t *testing.T) *Node {
+	t.Helper()
+	n := memberOf(t, 3, 2, 2)
+	for n.Status().Role != PreCandidate {
+		n.Tick()
+	}
+	for _, kind := range []MessageKind{MsgPreVoteReply, MsgVoteReply} {
+		if err := n.Step(Message{Kind: kind, From: 2, To: 1, Term: n.Status().Term}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	drain(n)
+	if n.Status().Role != Leader {
+		t.Fatalf("role is %s", n.Status().Role)
+	}
+	return n
+}
+
+// Guards against a leader that relies on a round which no quorum has answered, on one from before its
+// commit index is current, and on any after it has asked another member to take over.
+func TestLeaseRound(t *testing.T) {
+	is := is.New(t)
+	n := leaderOf(t)
+	answer := func() {
+		is.NoErr(n.Step(Message{Kind: MsgHeartbeatReply, From: 2, To: 1, Term: n.Status().Term, Round: n.Round()}))
+		drain(n)
+	}
+	for range HeartbeatTicks {
+		n.Tick()
+	}
+	answer()
+	is.Equal(n.LeaseRound(), uint64(0)) // nothing is committed in this term
+	is.NoErr(n.Step(Message{Kind: MsgAppendReply, From: 2, To: 1, Term: n.Status().Term, Index: n.Status().Last}))
+	drain(n)
+	first := n.Round()
+	is.Equal(n.LeaseRound(), first)
+	for range HeartbeatTicks {
+		n.Tick()
+	}
+	is.True(n.Round() > first)
+	is.Equal(n.LeaseRound(), first) // the new round isn't answered
+	answer()
+	is.Equal(n.LeaseRound(), n.Round())
+	is.NoErr(n.Transfer())
+	is.Equal(n.LeaseRound(), uint64(0))
+	for range 2 * ElectionMinTicks { // the transfer has failed
+		n.Tick()
+		answer()
+	}
+	is.Equal(n.Status().Role, Leader)
+	is.Equal(n.LeaseRound(), uint64(0))
+}
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -11,7 +11,7 @@
 		return ErrWrongMember
 	}
 	isVote := m.Kind == MsgPreVote || m.Kind == MsgVote
-	if isVote && !m.Force && n.hearsLeader() {
+	if isVote && !m.Force && (n.hearsLeader() || n.started < LeaseTicks) {
 		return nil
 	}
 	if m.Term < n.term {
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -23,6 +23,7 @@
 		return ErrQuorumAtRisk
 	}
 	n.transferTo = best
+	n.transferred = true
 	n.transferTicks = 0
 	n.continueTransfer(best)
 	return nil
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -12,6 +12,10 @@
 	// this time ignores vote requests, and a leader that didn't hear from a quorum for this time
 	// steps down.
 	ElectionMinTicks = 8
+	// LeaseTicks is how long a leader may rely on the answers of a quorum to a heartbeat, from the moment it
+	// sent it. Voters ignore vote requests for at least ElectionMinTicks-1 ticks after they have heard from
+	// a leader, and for LeaseTicks after their start, since they may have heard from one before.
+	LeaseTicks = 5
 	// ElectionMaxTicks is the longest election timeout.
 	ElectionMaxTicks = 16
 )
--- a/internal/ratelimit/borrower.go
+++ b/internal/ratelimit/borrower.go
@@ -10,8 +10,10 @@
 const (
 	// DefaultReserve is the part of the estimated demand of an interval that lots cover.
 	DefaultReserve = 1.25
-	demandDecay    = 0.5 // weight of earlier intervals in the estimate
-	minEstimate    = 0.5 // tokens per interval below which a team counts as idle
+	// borrowedPart of the reserve is asked for between two renewals: half of an interval with DefaultReserve.
+	borrowedPart = 0.5 / DefaultReserve
+	demandDecay  = 0.5 // weight of earlier intervals in the estimate
+	minEstimate  = 0.5 // tokens per interval below which a team counts as idle
 )
 
 // Borrower spends the lots of one host. It is not safe for concurrent use.
@@ -116,7 +118,8 @@
 // request and the estimate of what follows before the next renewal.
 func (b *Borrower) Want(team string, n uint64) uint64 {
 	p := b.holding(team)
-	return n + uint64(math.Ceil(max(p.estimate, p.used-float64(n))/2))
+	part := max(p.estimate, p.used-float64(n))
+	return n + uint64(math.Ceil(part*b.reserve*borrowedPart))
 }
 
 // Demand ends an interval. It returns the tokens to ask for in the next renewal, per team, and
--- a/internal/replica/joining_test.go
+++ b/internal/replica/joining_test.go
@@ -1,9 +1,13 @@
 package replica
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/internal/clock"
 )
 
 // joinConfig lets hosts find each other from two seeds.
@@ -82,3 +86,37 @@
 	h.tickUntil(t, func() bool { return voters(all[0]) == 4 })
 	is.Equal(voters(all[1]), 4)
 }
+
+// Guards against a read that a leader answers although another member may have been elected: after it
+// was cut off, or after it stood still while the clock went on.
+func TestLeaseEnds(t *testing.T) {
+	is := is.New(t)
+	h := newHub()
+	clk := clock.NewFake(time.Unix(1000, 0))
+	var all []*Replica
+	for _, addr := range []string{"a", "b", "c"} {
+		conf := joinConfig(true)
+		conf.Clock = clk
+		all = append(all, h.open(t, t.TempDir(), addr, &counter{}, conf))
+	}
+	h.tickUntil(t, func() bool { return voters(all[0]) == 3 && voters(all[2]) == 3 && h.leader() != nil })
+	leader := h.leader()
+	rounds := 0
+	h.tickUntil(t, func() bool { // some heartbeat rounds are answered
+		rounds++
+		return rounds > 10
+	})
+	confirm := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		return leader.Confirm(ctx)
+	}
+	is.NoErr(confirm())
+	h.mu.Lock()
+	h.down[leader.cfg.Addr] = true
+	h.mu.Unlock()
+	clk.Advance(leaseTime - time.Millisecond)
+	is.NoErr(confirm()) // nobody else can lead yet
+	clk.Advance(time.Millisecond)
+	is.True(confirm() != nil)
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -43,7 +43,7 @@
 }
 
 func (r *Replica) tick() error {
-	r.node.Tick()
+	r.tickNode()
 	r.ticks++
 	r.leaderless++
 	if r.node.Status().Leader != 0 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -122,6 +122,8 @@
 	founding  *founding               // nil unless this member may found the group
 	ticks     int
 
+	rounds []sentRound // latest heartbeat rounds of this leadership, oldest first
+
 	referredTo string // leader that another member has named; empty: none
 	leaderless int    // ticks without a known leader
 }
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -142,8 +142,8 @@
 	clear(r.waiting)
 }
 
-// Confirm returns nil once a quorum has confirmed, after the call began, that this member leads, and
-// the state machine has applied everything that was committed before the call. Errors carry the
+// Confirm returns nil once it is certain that no other member has been elected before the call, and the
+// state machine has applied everything that was committed before the call. Errors carry the
 // verdict NotRun.
 func (r *Replica) Confirm(ctx context.Context) error {
 	result := make(chan error, 1)
@@ -168,12 +168,18 @@
 	}
 }
 
-// startConfirms passes all waiting callers to consensus as one read.
+// startConfirms passes all waiting callers to consensus as one read. Under a lease they only wait until
+// everything that is committed has been applied.
 func (r *Replica) startConfirms(callers []chan error) {
 	if len(callers) == 0 {
 		return
 	}
 	r.nextRead++
+	if r.leased() {
+		r.reads[r.nextRead] = callers
+		r.confirmed = append(r.confirmed, consensus.Read{ID: r.nextRead, Index: r.node.Status().Commit})
+		return
+	}
 	if err := r.node.ConfirmRead(r.nextRead); err != nil {
 		r.answer(r.nextRead, callers, notRun(verdict.CodeUnavailable, err))
 		return
