Renew, borrow and repeat less

Cause: control hosts renewed as often as entry hosts, every answer listed all control hosts, and a team over its rate made each host ask for tokens ten times a second.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,6 +42,8 @@
 	// LotReserve is the part of the estimated demand of an interval for which rate tokens are borrowed; 0:
 	// ratelimit.DefaultReserve. More lets the host go on for longer while no leader answers.
 	LotReserve float64
+	// Lazy lets a host without the entry role renew less often.
+	Lazy bool
 }
 
 // Agent is a host's view of the cluster. Its methods are safe for concurrent use, except that
--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -24,13 +24,24 @@
 		}
 		started := time.Now()
 		a.renewOnce(ctx)
-		timer.Reset(max(0, interval-time.Since(started)))
+		timer.Reset(max(0, a.interval()-time.Since(started)))
 		if !pause(ctx, minInterval-time.Since(started)) {
 			return nil
 		}
 	}
 }
 
+// idleInterval is the time between renewals of a host that owns nothing and serves no callers. It only
+// follows the configuration and the leader.
+const idleInterval = 4 * interval
+
+func (a *Agent) interval() time.Duration {
+	if a.Entry || !a.Lazy {
+		return interval
+	}
+	return idleInterval
+}
+
 func pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return true
@@ -77,13 +88,13 @@
 }
 
 // lostControl is the time without an answer of a leader after which control counts as lost.
-const lostControl = 2 * interval
+const lostControl = 2 * interval // of an entry host
 
 // checkControl notes that no leader has answered for a while.
 func (a *Agent) checkControl() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.Confirmed() >= lostControl {
+	if a.Confirmed() >= lostControl+a.interval()-interval {
 		a.noteControl(false)
 	}
 }
--- a/internal/agent/take.go
+++ b/internal/agent/take.go
@@ -18,6 +18,9 @@
 	// request to the leader for each statement that is refused.
 	borrowSpacing      = 10 * time.Millisecond
 	emptyBorrowSpacing = 100 * time.Millisecond
+	// emptyFresh is how long TakeSoon relies on the answer that a bucket is empty. Renewals bring the team's
+	// next tokens in the meantime.
+	emptyFresh = 300 * time.Millisecond
 	// controlPatience is the time since the last confirmation up to which a request waits for tokens
 	// while no leader answers. An election and the search for the new leader fit in it.
 	controlPatience = 5 * time.Second
@@ -118,7 +121,7 @@
 	}
 	a.mu.Lock()
 	last, ok := a.lastBorrow[team]
-	empty := ok && last.empty && a.Clock.Now().Sub(last.at) < emptyBorrowSpacing
+	empty := ok && last.empty && a.Clock.Now().Sub(last.at) < emptyFresh
 	if empty {
 		a.borrower.Take(a.Clock.Now(), team, uint64(max(tokens, 0))) // counts as demand
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -44,7 +44,8 @@
 	avoided    map[avoidance]time.Time
 	assigning  map[string]bool    // targets whose next holder is being recorded
 	routes     []wire.TargetRoute // as of routesVersion
-	version    uint64             // of routes
+	controls   []string           // addresses of the control hosts, as of version
+	version    uint64             // of routes and controls
 
 	owned       map[string][]string // services by owner, as of ownedRoutes
 	ownedRoutes uint64
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -195,9 +195,6 @@
 
 // addTargets answers the part of a renewal that is about targets.
 func (s *Server) addTargets(lead *leader, now time.Time, reply *wire.RenewReply, req *wire.Renew) {
-	if s.Controls != nil {
-		reply.Control = s.Controls()
-	}
 	if s.Targets == nil {
 		return
 	}
@@ -276,9 +273,11 @@
 	}
 	reply.TargetsFull = true
 	reply.TargetRoutes = lead.routes
+	reply.Control = lead.controls
 }
 
-// updateRoutes builds the routes to all targets, and gives them a new version if they have changed.
+// updateRoutes builds the routes to all targets and the list of control hosts, and gives them a new version
+// if they have changed.
 func (s *Server) updateRoutes(lead *leader, now time.Time) {
 	var routes []wire.TargetRoute
 	for _, service := range s.Machine.Groups() {
@@ -297,10 +296,14 @@
 		}
 	}
 	slices.SortFunc(routes, func(a, b wire.TargetRoute) int { return strings.Compare(a.Target, b.Target) })
-	if lead.version > 0 && slices.Equal(routes, lead.routes) {
+	var controls []string
+	if s.Controls != nil {
+		controls = s.Controls()
+	}
+	if lead.version > 0 && slices.Equal(routes, lead.routes) && slices.Equal(controls, lead.controls) {
 		return
 	}
-	lead.routes = routes
+	lead.routes, lead.controls = routes, controls
 	lead.version++
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -184,6 +184,7 @@
 		Probe:     d.probe,
 
 		LotReserve: d.lotReserve(),
+		Lazy:       d.options.Deployment != nil,
 	})
 	return nil
 }
--- a/internal/daemon/partition_test.go
+++ b/internal/daemon/partition_test.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/matryer/is"
 
+	"github.com/citronrun/citronrun/internal/consensus"
 	"github.com/citronrun/citronrun/internal/entry"
 	"github.com/citronrun/citronrun/internal/settings"
 	"github.com/citronrun/citronrun/internal/verdict"
@@ -223,6 +224,8 @@
 			f.partPair("entry-2", controlName(i))
 		}
 	}
+	// Until its lease ends no other leader can exist, and what the cut off one says is still the newest.
+	time.Sleep(consensus.LeaseTicks * consensus.TickMillis * time.Millisecond)
 	late := f.addEntry()
 	f.awaitLeader(victim)
 	asked := time.Now()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -175,7 +175,7 @@
 	TargetsVersion uint64        `cbor:"14,keyasint,omitempty"`
 	TargetsFull    bool          `cbor:"15,keyasint,omitempty"` // TargetRoutes replaces all
 	TargetRoutes   []TargetRoute `cbor:"16,keyasint,omitempty"`
-	Control        []string      `cbor:"17,keyasint,omitempty"` // QUIC addresses of all control hosts
+	Control        []string      `cbor:"17,keyasint,omitempty"` // QUIC addresses of all control hosts, with TargetsFull
 }
 
 // Route says which host owns a service.
