--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -34,7 +34,6 @@
 	pos      position.Position
 	broken   bool                               // dials fail
 	onRun    func(st statement.Statement) error // called without mu
-	perTeam  map[string]int
 	maxConns int
 }
 
