--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -14,6 +14,27 @@
 	Hosts    map[string]HostStatus    `json:"hosts"`
 	Services map[string]ServiceStatus `json:"services"`
 	Members  any                      `json:"members,omitempty"`
+
+	Deployment uint64                 `json:"deployment_version,omitempty"`
+	Groups     map[string]GroupStatus `json:"groups,omitempty"` // deployed services
+}
+
+// GroupStatus describes a deployed service.
+type GroupStatus struct {
+	Primary   string                       `json:"primary"`
+	Candidate string                       `json:"candidate,omitempty"` // of an order whose outcome isn't known
+	Token     uint64                       `json:"token"`               // of the last order
+	Phase     string                       `json:"phase"`
+	Targets   map[string]GroupTargetStatus `json:"targets"`
+}
+
+// GroupTargetStatus describes a target of a deployed service.
+type GroupTargetStatus struct {
+	Addr    string  `json:"addr"`
+	Place   string  `json:"place"`
+	Holder  string  `json:"holder,omitempty"`
+	Leaving bool    `json:"leaving,omitempty"`
+	Silent  float64 `json:"silent_s"` // in its registrations at this leader; -1: none yet
 }
 
 // HostStatus describes a host that has renewed at this leader.
@@ -78,6 +99,32 @@
 	for _, name := range s.Machine.Names() {
 		st.Services[name] = s.serviceStatus(lead, now, name)
 	}
+	if d := s.Machine.Catalog().Catalog.Deployment; d != nil {
+		st.Deployment = d.Version
+		st.Groups = map[string]GroupStatus{}
+		for _, name := range s.Machine.Groups() {
+			st.Groups[name] = s.groupStatus(lead, now, name)
+		}
+	}
+	return st
+}
+
+func (s *Server) groupStatus(lead *leader, now time.Time, name string) GroupStatus {
+	state := s.Machine.Group(name)
+	st := GroupStatus{
+		Primary: state.Primary, Candidate: state.Candidate, Token: state.Token,
+		Phase: lead.group(now, name).promotion.State(), Targets: map[string]GroupTargetStatus{},
+	}
+	for target, member := range state.Members {
+		t := GroupTargetStatus{Addr: member.Addr, Place: member.Place, Leaving: !lead.leavingSince(target).IsZero(), Silent: -1}
+		if r := lead.registered[target]; r != nil {
+			t.Silent = now.Sub(r.seen).Seconds()
+		}
+		if seat := lead.seats.Seat(target); seat != nil {
+			t.Holder = seat.Host
+		}
+		st.Targets[target] = t
+	}
 	return st
 }
 
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -47,9 +47,33 @@
 		s := st.Services[name]
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\t%s\n", name, s.Owner, s.Epoch, s.Term, s.Primary, s.Phase, targets(s))
 	}
+	if len(st.Groups) > 0 {
+		fmt.Fprintf(w, "\ndeployment version %d\n\nDEPLOYED SERVICE\tPRIMARY\tTOKEN\tPHASE\tTARGETS\n", st.Deployment)
+	}
+	for _, name := range sorted(st.Groups) {
+		g := st.Groups[name]
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", name, g.Primary, g.Token, g.Phase, groupTargets(g))
+	}
 	return w.Flush()
 }
 
+// groupTargets lists a deployed service's targets with the hosts that hold them.
+func groupTargets(g control.GroupStatus) string {
+	var parts []string
+	for _, name := range sorted(g.Targets) {
+		t := g.Targets[name]
+		part := fmt.Sprintf("%s at %s", name, t.Holder)
+		if t.Holder == "" {
+			part = name + " without a holder"
+		}
+		if t.Leaving {
+			part += " leaving"
+		}
+		parts = append(parts, part)
+	}
+	return strings.Join(parts, ", ")
+}
+
 func hostState(h control.HostStatus) string {
 	switch {
 	case !h.Entry:
