Allow a lone ROLLBACK after a block that its owner ended

A trace of 103 failing runs shows that the second request is always the caller's ROLLBACK: the insert had been sent into the block before the error came, so that the error answered the insert, and the rollback found no block. It has no effect.

Change: the test checks the content of requests outside of the block instead of their number: at most one, and that one is the rollback, never the insert. That is the failure that it guards against.

--- a/internal/entry/block_test.go
+++ b/internal/entry/block_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
@@ -53,10 +54,15 @@
 			fx.True(c == "25P02" || c == verdict.CodeOutcomeUnknown)
 			_, err = conn.Exec(bg, "rollback")
 			fx.NoErr(err)
+			// Nothing ran outside of the block. When the error came after the insert was sent into the block, it
+			// answered the insert, and the rollback, which has no effect, follows by itself.
 			fx.owner.mu.Lock()
-			begun := len(fx.owner.requests)
+			outside := fx.owner.firsts[1:]
 			fx.owner.mu.Unlock()
-			fx.Equal(begun, 1)                 // nothing ran outside of the block
+			fx.True(len(outside) <= 1)
+			for _, first := range outside {
+				fx.True(strings.Contains(first, "rollback") && !strings.Contains(first, "insert"))
+			}
 			_, err = conn.Exec(bg, "insert b") // the session goes on
 			fx.NoErr(err)
 		})
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -48,6 +48,7 @@
 	tokens    int     // Take refuses at 0; negative: no limit
 	refused   func()  // called once, at the first refusal of a token
 	requests  []wire.TxRequest
+	firsts    []string // the first frames of each of requests
 	canceled  []wire.Cancel
 
 	writes    atomic.Int64
@@ -97,6 +98,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.requests = append(o.requests, req)
+	o.firsts = append(o.firsts, string(first))
 	if len(o.refuse) > 0 {
 		err := o.refuse[0]
 		o.refuse = o.refuse[1:]
