Wait for space instead of ending when the disk is full

A refused write differs from a failed sync: what reached the file is known.

Change: the log cuts off the incomplete record and returns ErrNoSpace; the member repeats the write at each tick. Meanwhile it takes no part in its group, like one whose disk stalls, so that the others replace a leader. A new segment becomes the last one only once its first record is synced.

TestDiskFull refuses a write at each byte; TestWaitsWhileDiskIsFull failed before (member ended).

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -7,6 +7,8 @@
 
 	"github.com/citronrun/citronrun/internal/consensus"
 	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/wal"
+	"github.com/go-kit/log/level"
 )
 
 // inputs are the requests that wait for the loop.
@@ -21,11 +23,10 @@
 // run is the loop. It ends on Close or when the disk fails.
 func (r *Replica) run() {
 	defer close(r.done)
-	ticks := r.cfg.Ticks
-	if ticks == nil {
+	if r.cfg.Ticks == nil {
 		ticker := time.NewTicker(tickInterval)
 		defer ticker.Stop()
-		ticks = ticker.C
+		r.cfg.Ticks = ticker.C
 	}
 	// The first tick is given at once, so that a group of one member leads without delay.
 	err := r.tick()
@@ -33,7 +34,7 @@
 		select {
 		case <-r.stop:
 			err = ErrClosed
-		case <-ticks:
+		case <-r.cfg.Ticks:
 			err = r.tick()
 		case <-r.wake:
 			err = r.step()
@@ -122,11 +123,34 @@
 
 func (r *Replica) persist(ready consensus.Ready) error {
 	if ready.Snapshot != nil {
-		if err := r.log.Install(*ready.Snapshot, *ready.Hard); err != nil {
+		if err := r.write(func() error { return r.log.Install(*ready.Snapshot, *ready.Hard) }); err != nil {
 			return err
 		}
 	}
-	return r.log.Save(ready.Hard, ready.Entries)
+	return r.write(func() error { return r.log.Save(ready.Hard, ready.Entries) })
+}
+
+// write repeats a write to the log at each tick while the disk is full. Like a member whose disk
+// stalls, this one takes no part in the group meanwhile, and a leader is replaced by the others.
+func (r *Replica) write(save func() error) error {
+	err := save()
+	if !errors.Is(err, wal.ErrNoSpace) {
+		return err
+	}
+	_ = level.Error(r.cfg.Logger).Log("msg", "disk full", "err", err)
+	begin := r.cfg.Clock.Now()
+	for errors.Is(err, wal.ErrNoSpace) {
+		select {
+		case <-r.stop:
+			return ErrClosed
+		case <-r.cfg.Ticks:
+			err = save()
+		}
+	}
+	if err == nil {
+		_ = level.Info(r.cfg.Logger).Log("msg", "disk has space again", "after", r.cfg.Clock.Now().Sub(begin))
+	}
+	return err
 }
 
 func (r *Replica) apply(ready consensus.Ready) error {
@@ -162,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.log.SaveSnapshot(s); err != nil {
+	if err := r.write(func() error { return r.log.SaveSnapshot(s) }); err != nil {
 		return err
 	}
 	r.snapIndex = s.Index
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/citronrun/citronrun/internal/wal"
 	"github.com/citronrun/citronrun/internal/wire"
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
 // counter is a state machine that counts entries and adds up their bytes.
@@ -348,6 +350,68 @@
 	is.NoErr(r.Close())
 }
 
+// fullFS refuses writes for lack of space while it is full.
+type fullFS struct {
+	wal.OS
+	full *atomic.Bool
+}
+
+func (f fullFS) Create(name string) (wal.File, error) {
+	file, err := f.OS.Create(name)
+	return fullFile{file, f.full}, err
+}
+
+type fullFile struct {
+	wal.File
+	full *atomic.Bool
+}
+
+func (f fullFile) Write(p []byte) (int, error) {
+	if !f.full.Load() {
+		return f.File.Write(p)
+	}
+	n, err := f.File.Write(p[:len(p)/2])
+	if err == nil {
+		err = unix.ENOSPC
+	}
+	return n, err
+}
+
+// TestWaitsWhileDiskIsFull guards against a member that ends, or loses what it has acknowledged,
+// because the disk was full for a time.
+func TestWaitsWhileDiskIsFull(t *testing.T) {
+	is := is.New(t)
+	fsys := fullFS{full: &atomic.Bool{}}
+	cfg := Config{Dir: filepath.Join(t.TempDir(), "a"), Addr: "a", Bootstrap: true, FS: fsys}
+	r, err := Open(cfg, &counter{}, peer{newHub(), "a"})
+	is.NoErr(err)
+	_, err = r.Propose(context.Background(), []byte("x"))
+	is.NoErr(err)
+	fsys.full.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*tickInterval)
+	defer cancel()
+	_, err = r.Propose(ctx, []byte("y"))
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	fsys.full.Store(false)
+	_, err = r.Propose(context.Background(), []byte("z"))
+	is.NoErr(err)
+	is.NoErr(r.Status().Err)
+
+	fsys.full.Store(true)
+	ctx, cancel = context.WithTimeout(context.Background(), 4*tickInterval)
+	defer cancel()
+	_, err = r.Propose(ctx, []byte("w"))
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	is.NoErr(r.Close()) // ends also while the disk is full
+	cfg.FS = nil
+	again := &counter{}
+	r, err = Open(cfg, again, peer{newHub(), "a"})
+	is.NoErr(err)
+	defer r.Close()
+	is.NoErr(r.Confirm(context.Background()))
+	is.Equal(again.value(), uint64(3)) // x, y and z
+}
+
 // FuzzReceive guards the decoder and consensus against batches that no correct member sends.
 func FuzzReceive(f *testing.F) {
 	snapshot := consensus.Snapshot{Index: 5, Term: 2, Members: []Member{{ID: 9, Addr: "x"}}}
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -16,7 +16,7 @@
 	// ReadDir returns the names of the files in a folder.
 	ReadDir(dir string) ([]string, error)
 	ReadFile(name string) ([]byte, error)
-	// Create opens an empty file for writing, replacing an existing one.
+	// Create opens an empty file for writing at its end, replacing an existing one.
 	Create(name string) (File, error)
 	// Append opens an existing file for writing at its end.
 	Append(name string) (File, error)
@@ -65,9 +65,9 @@
 // ReadFile returns the content of a file.
 func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
 
-// Create opens an empty file for writing.
+// Create opens an empty file for writing. Writes go to its end also after it was truncated.
 func (OS) Create(name string) (File, error) {
-	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_APPEND|os.O_WRONLY, fileMode)
 }
 
 // Append opens an existing file for writing at its end.
--- a/internal/wal/memfs_test.go
+++ b/internal/wal/memfs_test.go
@@ -8,6 +8,8 @@
 	"io/fs"
 	"path/filepath"
 	"slices"
+
+	"golang.org/x/sys/unix"
 )
 
 var errInjected = errors.New("injected fault")
@@ -28,6 +30,7 @@
 	short   bool
 	dead    bool // after the fault, all operations fail
 	sticky  bool // the fault leaves the process unable to write
+	room    int  // bytes that may still be written; 0: no limit, negative: none
 }
 
 func newMemFS() *memFS {
@@ -159,8 +162,26 @@
 		}
 		return len(p) / 2, err
 	}
-	h.file.data = append(h.file.data, p...)
-	return len(p), nil
+	n := h.fs.take(len(p))
+	h.file.data = append(h.file.data, p[:n]...)
+	if n < len(p) {
+		return n, unix.ENOSPC
+	}
+	return n, nil
+}
+
+// take returns how many of n bytes the disk has room for.
+func (m *memFS) take(n int) int {
+	switch {
+	case m.room == 0:
+		return n
+	case n >= m.room:
+		n = max(m.room, 0)
+		m.room = -1
+	default:
+		m.room -= n
+	}
+	return n
 }
 
 func (h *memHandle) Sync() error {
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -32,12 +32,13 @@
 func (l *Log) writeFile(name string, data []byte) error {
 	file, err := l.fs.Create(l.path(name))
 	if err != nil {
-		return err
+		return noSpace(err)
 	}
 	n, err := file.Write(data)
 	if err == nil && n < len(data) {
 		err = io.ErrShortWrite
 	}
+	err = noSpace(err)
 	if err == nil {
 		err = file.Sync()
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -4,16 +4,22 @@
 // Segments are files of checksummed records, named by a sequence number. A snapshot is a file of its
 // own, named by its index. Save and SaveSnapshot return only after files and folder are synced.
 // After a failed write or sync the state of the disk is unknown, so that a Log then refuses all
-// further writes until the folder is opened again.
+// further writes until the folder is opened again. A write that a full disk refuses is the exception:
+// it is undone and reported as ErrNoSpace, and can be repeated.
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
 	"github.com/citronrun/citronrun/internal/consensus"
+	"golang.org/x/sys/unix"
 )
 
+// ErrNoSpace says that the disk is full. Nothing of the write is left, so that it can be repeated.
+var ErrNoSpace = errors.New("no space left on the disk")
+
 // DefaultSegmentBytes is the size at which a new segment is started.
 const DefaultSegmentBytes = 1 << 20
 
@@ -109,10 +115,7 @@
 	if l.failed != nil {
 		return l.failed
 	}
-	if err := l.writeSnapshot(s); err != nil {
-		return l.fail(err)
-	}
-	return nil
+	return l.fail(l.writeSnapshot(s))
 }
 
 // Install makes a snapshot from the leader durable. It replaces the whole log.
@@ -163,7 +166,11 @@
 	return err
 }
 
+// fail makes the log refuse further writes after an error other than ErrNoSpace.
 func (l *Log) fail(err error) error {
+	if err == nil || errors.Is(err, ErrNoSpace) {
+		return err
+	}
 	l.failed = fmt.Errorf("log refuses writes after a failure: %w", err)
 	return l.failed
 }
@@ -173,66 +180,94 @@
 	if l.failed != nil {
 		return l.failed
 	}
-	if err := l.append(rec); err != nil {
-		return l.fail(err)
+	return l.fail(l.writeRecord(rec))
+}
+
+func (l *Log) writeRecord(rec record) error {
+	if l.segments[len(l.segments)-1].bytes >= l.limit {
+		if err := l.roll(); err != nil {
+			return err
+		}
 	}
-	if l.segments[len(l.segments)-1].bytes < l.limit {
-		return nil
+	if err := l.append(l.file, &l.segments[len(l.segments)-1], rec); err != nil {
+		return err
 	}
-	if err := l.roll(); err != nil {
-		return l.fail(err)
+	if rec.Hard != nil {
+		l.hard = *rec.Hard
 	}
 	return nil
 }
 
-func (l *Log) append(rec record) error {
+// append writes a record to the end of a segment and syncs it.
+func (l *Log) append(file File, seg *segment, rec record) error {
 	buf, err := encode(rec)
 	if err != nil {
 		return err
 	}
-	n, err := l.file.Write(buf)
+	n, err := file.Write(buf)
 	if err == nil && n < len(buf) {
 		err = io.ErrShortWrite
 	}
 	if err != nil {
-		return err
+		return l.undo(seg, noSpace(err))
 	}
-	if err := l.file.Sync(); err != nil {
+	if err := file.Sync(); err != nil {
 		return err
 	}
-	seg := &l.segments[len(l.segments)-1]
 	seg.bytes += int64(len(buf))
 	for _, e := range rec.Entries {
 		seg.last = max(seg.last, e.Index)
 	}
-	if rec.Hard != nil {
-		l.hard = *rec.Hard
-	}
 	return nil
 }
 
+// undo cuts off what a full disk has taken of a record.
+func (l *Log) undo(seg *segment, cause error) error {
+	if !errors.Is(cause, ErrNoSpace) {
+		return cause
+	}
+	if err := l.fs.Truncate(l.path(seg.name), seg.bytes); err != nil {
+		return fmt.Errorf("cut off an incomplete record: %w", err)
+	}
+	return cause
+}
+
+// noSpace returns ErrNoSpace for an error of a write or creation that a full disk refused. Errors of
+// a sync don't qualify, because they say nothing about what has reached the disk.
+func noSpace(err error) error {
+	if errors.Is(err, unix.ENOSPC) {
+		return fmt.Errorf("%w: %w", ErrNoSpace, err)
+	}
+	return err
+}
+
 // roll starts a new segment. Its first record repeats the member id and the hard state, so that
-// earlier segments can be removed.
+// earlier segments can be removed. After an error the previous segment is still the last one.
 func (l *Log) roll() error {
-	seq := uint64(1)
+	seg := segment{seq: 1}
 	if k := len(l.segments); k > 0 {
-		seq = l.segments[k-1].seq + 1
+		seg.seq = l.segments[k-1].seq + 1
 	}
-	name := segmentName(seq)
-	file, err := l.fs.Create(l.path(name))
+	seg.name = segmentName(seg.seq)
+	file, err := l.fs.Create(l.path(seg.name))
 	if err != nil {
+		return noSpace(err)
+	}
+	hard := l.hard
+	err = l.append(file, &seg, record{Segment: seg.seq, Member: l.member, Hard: &hard})
+	if err == nil {
+		err = l.fs.SyncDir(l.dir)
+	}
+	if err != nil {
+		_ = file.Close() // the first error matters
 		return err
 	}
 	if l.file != nil {
 		_ = l.file.Close() // already synced
 	}
 	l.file = file
-	l.segments = append(l.segments, segment{seq: seq, name: name})
-	hard := l.hard
-	if err := l.append(record{Segment: seq, Member: l.member, Hard: &hard}); err != nil {
-		return err
-	}
-	return l.fs.SyncDir(l.dir)
+	l.segments = append(l.segments, seg)
+	return nil
 }
 
 func segmentName(seq uint64) string { return fmt.Sprintf("%016x%s", seq, segmentSuffix) }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -117,7 +117,7 @@
 func TestRefusesWritesAfterFault(t *testing.T) {
 	is := is.New(t)
 	for _, short := range []bool{false, true} {
-		for offset := 1; offset <= 2; offset++ { // the write (disk full, short write) and the sync
+		for offset := 1; offset <= 2; offset++ { // the write (refused, short) and the sync
 			fsys := newMemFS()
 			fsys.short = short
 			l, _, err := open(fsys)
@@ -134,6 +134,42 @@
 	}
 }
 
+// TestDiskFull guards against a log that is unusable or damaged after the disk was full: each write is
+// refused with room for any part of it and repeated once there is space.
+func TestDiskFull(t *testing.T) {
+	is := is.New(t)
+	refused := 0
+	for room := 1; room < 700; room++ {
+		fsys := newMemFS()
+		l, _, err := open(fsys)
+		is.NoErr(err)
+		fsys.room = room
+		repeat := func(write func() error) {
+			for err := write(); err != nil; err = write() {
+				is.True(errors.Is(err, ErrNoSpace))
+				_, _, err := open(fsys.crash(1 << 20))
+				is.NoErr(err)
+				fsys.room = 0
+				refused++
+			}
+		}
+		repeat(func() error { return l.Install(snapshotAt(1, 1), consensus.HardState{Term: 1}) })
+		for i := uint64(2); i <= 12; i++ {
+			hard := consensus.HardState{Term: 1, Vote: i}
+			repeat(func() error { return l.Save(&hard, []consensus.Entry{entry(i, 1)}) })
+		}
+		repeat(func() error { return l.SaveSnapshot(snapshotAt(9, 1)) })
+		is.NoErr(l.Compact(5))
+		_, got, err := open(fsys.crash(0))
+		is.NoErr(err)
+		is.Equal(got.Hard.Vote, uint64(12))
+		is.Equal(got.Snapshot.Index, uint64(9))
+		is.Equal(len(got.Entries), 3)
+	}
+	t.Logf("%d writes refused", refused)
+	is.True(refused > 0)
+}
+
 // lastSegment opens a folder with some records and returns the path of its last segment.
 func lastSegment(is *is.I, fsys *memFS, entries uint64) string {
 	l, _, err := open(fsys)
