Say that control was never confirmed instead of logging the longest duration

Cause: at the start of a process the line "control regained" carried unconfirmed=2562047h47m16.85s. Change: the field says never until a leader has confirmed the host once.

--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -109,7 +109,11 @@
 	if reached {
 		msg = "control regained"
 	}
-	_ = level.Info(a.Logger).Log("msg", msg, "unconfirmed", a.Confirmed().Round(time.Millisecond), "leader", a.leaderAddr, "known", len(a.controls()))
+	unconfirmed := "never"
+	if a.confirmed.Load() != nil {
+		unconfirmed = a.Confirmed().Round(time.Millisecond).String()
+	}
+	_ = level.Info(a.Logger).Log("msg", msg, "unconfirmed", unconfirmed, "leader", a.leaderAddr, "known", len(a.controls()))
 }
 
 // target returns the control host to ask next.
