End the stream of a single statement instead of resetting it

Cause: a statement outside of a block took five packets between two hosts, because the sender reset both directions of the stream after the answer and each reset was acknowledged.

--- a/internal/daemon/worklink.go
+++ b/internal/daemon/worklink.go
@@ -28,16 +28,20 @@
 		}
 		return reply, localBlock{b}, nil
 	}
+	var reply wire.WorkReply
+	if !w.Block {
+		err := l.endpoint.Call(ctx, route.Addr, wire.KindWork, w, &reply)
+		return reply, nil, err
+	}
 	s, err := l.endpoint.Open(ctx, route.Addr, wire.KindWork)
 	if err != nil {
-		return wire.WorkReply{}, nil, err
+		return reply, nil, err
 	}
 	b := &remoteBlock{stream: s}
-	reply, err := b.exchange(ctx, w)
-	if err != nil {
+	if reply, err = b.exchange(ctx, w); err != nil {
 		return reply, nil, err
 	}
-	if !w.Block || reply.Code != "" || reply.Result.Status == statement.Idle {
+	if reply.Code != "" || reply.Result.Status == statement.Idle {
 		b.Close()
 		return reply, nil, nil
 	}
