--- a/internal/control/seats.go
+++ b/internal/control/seats.go
@@ -123,7 +123,7 @@
 		draining := slices.ContainsFunc(hosts, func(h placement.Host) bool {
 			return h.Name == seat.Host && h.Boot == seat.Boot && h.Draining
 		})
-		if draining && placement.Choose(hosts, member.Place, avoid) != nil || avoid(seat.Host) || placement.Better(now, hosts, seat.Host, member.Place, avoid) {
+		if draining && placement.Choose(now, hosts, member.Place, avoid) != nil || avoid(seat.Host) || placement.Better(now, hosts, seat.Host, member.Place, avoid) {
 			_ = level.Info(s.Logger).Log("msg", "target lease not renewed", "target", target, "holder", seat.Host,
 				"epoch", seat.Epoch, "draining", draining, "cut", avoid(seat.Host))
 			lead.seats.Release(target)
@@ -134,7 +134,7 @@
 	if lead.assigning[target] || !lead.seats.Free(now, target) {
 		return
 	}
-	h := placement.Choose(hosts, member.Place, avoid)
+	h := placement.Choose(now, hosts, member.Place, avoid)
 	if h == nil {
 		return
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -23,27 +23,31 @@
 	Seats    int
 }
 
-// Choose returns the host for a target in a place: one in the same place if there is any, then the
-// one with the fewest seats, then by name. Hosts for which avoid returns true are the last resort. It
-// returns nil if there is no host.
-func Choose(hosts []Host, place string, avoid func(host string) bool) *Host {
+// tried reports whether the process has served long enough for targets to move to it.
+func (h *Host) tried(now time.Time) bool { return now.Sub(h.Since) >= hostTrial }
+
+// Choose returns the host for a target in a place: one in the same place if there is any, then one
+// whose process has proved itself, then the one with the fewest seats, then by name. Hosts for which
+// avoid returns true are the last resort. It returns nil if there is no host.
+func Choose(now time.Time, hosts []Host, place string, avoid func(host string) bool) *Host {
 	var best *Host
 	for i := range hosts {
 		h := &hosts[i]
 		if h.Draining {
 			continue
 		}
-		if best == nil || compare(h, best, place, avoid) < 0 {
+		if best == nil || compare(now, h, best, place, avoid) < 0 {
 			best = h
 		}
 	}
 	return best
 }
 
-func compare(a, b *Host, place string, avoid func(string) bool) int {
+func compare(now time.Time, a, b *Host, place string, avoid func(string) bool) int {
 	return cmp.Or(
 		before(!avoid(a.Name), !avoid(b.Name)),
 		before(a.Place == place, b.Place == place),
+		before(a.tried(now), b.tried(now)),
 		cmp.Compare(a.Seats, b.Seats),
 		cmp.Compare(a.Name, b.Name),
 	)
@@ -64,8 +68,8 @@
 // Better reports whether a target should move from its holder to another host although nothing is
 // wrong: the other one is in the target's place, or serves much less there.
 func Better(now time.Time, hosts []Host, holder, place string, avoid func(string) bool) bool {
-	best := Choose(hosts, place, avoid)
-	if best == nil || best.Name == holder || avoid(best.Name) || now.Sub(best.Since) < hostTrial {
+	best := Choose(now, hosts, place, avoid)
+	if best == nil || best.Name == holder || avoid(best.Name) || !best.tried(now) {
 		return false
 	}
 	for i := range hosts {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -90,11 +90,29 @@
 		{Name: "d", Place: "x", Draining: true},
 	}
 	none := func(string) bool { return false }
-	is.Equal(Choose(hosts, "x", none).Name, "b")
-	is.Equal(Choose(hosts, "x", func(h string) bool { return h == "b" }).Name, "a")
-	is.Equal(Choose(hosts, "z", none).Name, "c")
-	is.Equal(Choose(hosts, "x", func(string) bool { return true }).Name, "b") // better than none
-	is.True(Choose(nil, "x", none) == nil)
-	is.True(Better(start.Add(time.Hour), hosts, "c", "x", none))
-	is.True(!Better(start.Add(time.Hour), hosts, "a", "x", none)) // too little to gain
+	now := start.Add(time.Hour)
+	is.Equal(Choose(now, hosts, "x", none).Name, "b")
+	is.Equal(Choose(now, hosts, "x", func(h string) bool { return h == "b" }).Name, "a")
+	is.Equal(Choose(now, hosts, "z", none).Name, "c")
+	is.Equal(Choose(now, hosts, "x", func(string) bool { return true }).Name, "b") // better than none
+	is.True(Choose(now, nil, "x", none) == nil)
+	is.True(Better(now, hosts, "c", "x", none))
+	is.True(!Better(now, hosts, "a", "x", none)) // too little to gain
+}
+
+// Guards against a target that stays in another place, or goes to a process that has just started,
+// because that process has fewer seats than one that has proved itself.
+func TestProvenHostsFirst(t *testing.T) {
+	is := is.New(t)
+	now := start.Add(time.Hour)
+	hosts := []Host{
+		{Name: "away", Place: "y"},
+		{Name: "old", Place: "x", Seats: 2},
+		{Name: "new", Place: "x", Since: now.Add(-hostTrial / 2)},
+	}
+	none := func(string) bool { return false }
+	is.True(Better(now, hosts, "away", "x", none))
+	is.Equal(Choose(now, hosts, "x", none).Name, "old")
+	is.True(!Better(now, hosts[2:], "away", "x", none)) // not yet
+	is.Equal(Choose(now, hosts[2:], "x", none).Name, "new")
 }
