--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -7,8 +7,9 @@
 
 const (
 	// hostTrial is how long a process must have served before targets move to it from a host that
-	// still serves them.
-	hostTrial = 3 * time.Second
+	// still serves them. It keeps them off a process that fails at its start; at 3 s they spent half of a
+	// rolling restart in other places.
+	hostTrial = 1 * time.Second
 	// balanceGap is the difference in seats between two hosts of a place that justifies a move.
 	balanceGap = 3
 )
