--- a/internal/holder/conns.go
+++ b/internal/holder/conns.go
@@ -4,13 +4,19 @@
 	"context"
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/citronrun/citronrun/internal/statement"
 	"github.com/citronrun/citronrun/internal/verdict"
 )
 
-// maxPrepared bounds the prepared statements of one connection.
-const maxPrepared = 64
+const (
+	// maxPrepared bounds the prepared statements of one connection.
+	maxPrepared = 64
+	// fullPause is the time without a new connection after the target has refused one for want of room.
+	// It may keep the connections of a lost holder for seconds, and each refusal takes it time.
+	fullPause = 50 * time.Millisecond
+)
 
 // conn is a connection with what it holds of its team's sessions.
 type conn struct {
@@ -80,11 +86,12 @@
 	m    *Manager
 	dial func(ctx context.Context, team string) (Conn, error)
 
-	mu     sync.Mutex
-	max    int
-	open   int
-	idle   []*conn // least recently used first
-	closed bool
+	mu        sync.Mutex
+	max       int
+	open      int
+	fullUntil time.Time // the target has no room for more than open connections
+	idle      []*conn   // least recently used first
+	closed    bool
 }
 
 // get returns an idle connection of a team, preferably one that has the wanted values, or opens one.
@@ -128,12 +135,16 @@
 	if found >= 0 {
 		return p.remove(found), nil
 	}
-	if p.open >= p.max && len(p.idle) > 0 {
+	limit := p.max
+	if p.m.cfg.Clock.Now().Before(p.fullUntil) {
+		limit = min(limit, p.open)
+	}
+	if p.open >= limit && len(p.idle) > 0 {
 		p.remove(0).Close()
 		p.open--
 		p.m.metrics.evicted.Inc()
 	}
-	if p.open >= p.max {
+	if p.open >= limit {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeTooBusy, "all connections to the target are in use")
 	}
 	p.open++
@@ -153,6 +164,9 @@
 		p.m.metrics.dialsFailed.Inc()
 		p.mu.Lock()
 		p.open--
+		if verdict.As(err).Code == verdict.CodeTooBusy {
+			p.fullUntil = p.m.cfg.Clock.Now().Add(fullPause)
+		}
 		p.mu.Unlock()
 		return nil, err
 	}
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -30,6 +30,7 @@
 	open     int
 	most     int
 	dials    int
+	refused  int // dials, for want of room
 	log      []string
 	pos      position.Position
 	rows     []string                           // of each answer
@@ -55,6 +56,7 @@
 		return nil, errBroken
 	}
 	if t.maxConns > 0 && t.open >= t.maxConns {
+		t.refused++
 		return nil, verdict.New(verdict.NotRun, verdict.CodeTooBusy, "too many connections")
 	}
 	t.open++
@@ -311,6 +313,35 @@
 	is.Equal(reply.Code, "")
 }
 
+// Guards against a stream of refused connections to a target that still keeps those of a lost holder,
+// and against teams that get none although another team's connection is idle.
+func TestTargetWithoutRoom(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4)
+	f.target.open = 3 // of the lost holder
+	run := func(team string) string {
+		reply, _ := f.Start(context.Background(), work(team, statement.Read, "x", nil))
+		return reply.Code
+	}
+	is.Equal(run("a"), "")
+	is.Equal(run("b"), verdict.CodeTooBusy)
+	refused := f.target.refused
+	is.Equal(run("b"), "") // instead of the idle connection of a
+	is.Equal(f.target.refused, refused)
+	_, b := f.Start(context.Background(), block("b", "x"))
+	for range 10 {
+		is.Equal(run("a"), verdict.CodeTooBusy)
+	}
+	is.Equal(f.target.refused, refused)
+	f.clock.Advance(fullPause)
+	is.Equal(run("a"), verdict.CodeTooBusy)
+	is.Equal(f.target.refused, refused+1)
+	b.Close()
+	f.target.open = 1
+	f.clock.Advance(fullPause)
+	is.Equal(run("a"), "")
+}
+
 // Guards against a lease that is given back while work runs under it.
 func TestRevokedLease(t *testing.T) {
 	is := is.New(t)
