Count promotions and target leases

Cause: the log had a line for each promotion and target lease, but the metrics had no counter of them, so that an alarm could not be put on them. Change: control counts leases given and taken back (with the reason), orders (by verdict) and promotions, and has a histogram of the time without a steady primary; holders count leases gained, returned and ended, the last of which is the bad one.

--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -77,7 +77,11 @@
 		if seat := lead.seats.Seat(state.Primary); seat != nil {
 			s.poke(lead, seat.Host)
 		}
+		if before == "steady" {
+			g.unsteady = now
+		}
 		if after == "steady" {
+			promotionTime.Update(now.Sub(g.unsteady).Seconds())
 			s.pokeHolders(lead)
 		}
 	}
@@ -186,6 +190,9 @@
 		s.runAction(lead, service, g, func(ctx context.Context) func() {
 			c := command{Outcome: &outcome{Leader: lead.term, Service: service, Token: state.Token, Target: choice}}
 			err := s.propose(ctx, c)
+			if err == nil {
+				promotions.Inc()
+			}
 			_ = level.Info(s.Logger).Log("msg", "primary recorded", "service", service, "target", choice, "token", state.Token, "err", err)
 			return func() {}
 		})
@@ -318,6 +325,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := s.Targets.Promote(ctx, PromotionOrder{Service: service, Target: choice, Token: token})
+	countOrder(err)
 	_ = level.Info(s.Logger).Log("msg", "promotion ordered", "service", service, "target", choice, "token", token, "err", err)
 	return err != nil && verdict.Of(err) == verdict.NotRun
 }
--- a/internal/control/seats.go
+++ b/internal/control/seats.go
@@ -126,6 +126,7 @@
 		if draining && placement.Choose(now, hosts, member.Place, avoid) != nil || avoid(seat.Host) || placement.Better(now, hosts, seat.Host, member.Place, avoid) {
 			_ = level.Info(s.Logger).Log("msg", "target lease not renewed", "target", target, "holder", seat.Host,
 				"epoch", seat.Epoch, "draining", draining, "cut", avoid(seat.Host))
+			countNotRenewed(draining, avoid(seat.Host))
 			lead.seats.Release(target)
 			s.poke(lead, seat.Host)
 		}
@@ -154,6 +155,7 @@
 		defer s.mu.Unlock()
 		delete(lead.assigning, target)
 		if err == nil {
+			leasesAssigned.Inc()
 			lead.seats.Assign(s.Clock.Now(), target, r)
 			s.poke(lead, r.Host)
 		}
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -49,7 +49,8 @@
 type group struct {
 	promotion *promotion.Machine
 	since     time.Time
-	busy      bool // an action is under way
+	unsteady  time.Time // when the promotion last left its steady state
+	busy      bool      // an action is under way
 	health    map[string]targetHealth
 }
 
@@ -62,7 +63,7 @@
 func (l *leader) group(now time.Time, service string) *group {
 	g := l.groups[service]
 	if g == nil {
-		g = &group{promotion: promotion.New(), since: now, health: map[string]targetHealth{}}
+		g = &group{promotion: promotion.New(), since: now, unsteady: now, health: map[string]targetHealth{}}
 		l.groups[service] = g
 	}
 	return g
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -358,6 +358,9 @@
 	is.Equal(reply.Code, "")
 	is.Equal(f.leases.returned, []uint64{5})
 	is.Equal(f.target.open, 0)
+	is.Equal(f.metrics.gained.Get(), uint64(1))
+	is.Equal(f.metrics.returned.Get(), uint64(1))
+	is.Equal(f.metrics.ended.Get(), uint64(0))
 }
 
 // Guards against a promotion that waits for a caller that rests inside a block.
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -46,6 +46,7 @@
 		if t == nil {
 			t = newTarget(m, l)
 			m.targets[l.Target] = t
+			m.metrics.gained.Inc()
 			_ = level.Info(m.logger).Log("msg", "target lease gained", "target", l.Target, "service", l.Service,
 				"epoch", l.Epoch, "primary", l.Primary, "term", l.Term)
 		}
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -11,6 +11,9 @@
 	dialsFailed *metrics.Counter
 	evicted     *metrics.Counter
 	reused      *metrics.Counter
+	gained      *metrics.Counter // leases
+	returned    *metrics.Counter // leases that were given back without work
+	ended       *metrics.Counter // leases that ended with work or by expiry
 	queue       *metrics.Histogram
 	run         *metrics.Histogram
 }
@@ -25,6 +28,9 @@
 		dialsFailed: set.NewCounter("citron_target_connections_failed_total"),
 		evicted:     set.NewCounter("citron_target_connections_evicted_total"),
 		reused:      set.NewCounter("citron_target_connections_reused_total"),
+		gained:      set.NewCounter("citron_target_leases_gained_total"),
+		returned:    set.NewCounter("citron_target_leases_returned_total"),
+		ended:       set.NewCounter("citron_target_leases_ended_total"),
 		queue:       set.NewHistogram("citron_target_queue_seconds"),
 		run:         set.NewHistogram("citron_target_run_seconds"),
 	}
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -185,6 +185,7 @@
 	if giveBack {
 		t.conns.close()
 		t.m.forget(t)
+		t.m.metrics.returned.Inc()
 		_ = level.Info(t.m.logger).Log("msg", "target lease returned", "target", t.name, "epoch", t.epoch)
 		t.m.cfg.Leases.ReturnTarget(t.name, t.epoch)
 	}
@@ -295,6 +296,7 @@
 		b.abort(cause)
 	}
 	t.conns.close()
+	t.m.metrics.ended.Inc()
 	_ = level.Info(t.m.logger).Log("msg", "target lease ended", "target", t.name, "epoch", t.epoch, "err", cause)
 }
 
