Refuse work for a target that doesn't answer

Cause: a holder queued statements for a target that it knew to be silent. Change: from 500 ms of silence on a held target gets no work; it is asked for its position at each tick, replicas too, so that its first answer ends the refusals. In TestHealth a ping instead of a statement now ends the silence, since statements are refused; the statement after it must still succeed. TestSilentTargetRefusesWork failed before.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -82,6 +82,9 @@
 	leaseDrain = 3 * time.Second
 	// minReport is the silence of a target, or the time that a commit waits, which is worth a report.
 	minReport = 300 * time.Millisecond
+	// silentBound is the silence from which on a target gets no work but the question for its position.
+	// Statements would wait for it up to their deadlines; the leader replaces a primary at the same bound.
+	silentBound = 500 * time.Millisecond
 	// reportInterval is the time between two reports that travel at once.
 	reportInterval = 200 * time.Millisecond
 	// extraStatements is the number of statements that wait at the target itself, so that its slots stay
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -451,9 +451,12 @@
 	f.clock.Advance(time.Second)
 	is.Equal(f.Health()[0].Silent, time.Second)
 	f.target.broken = false
-	f.Start(context.Background(), work("t", statement.Read, "x", nil))
-	is.Equal(len(f.Health()), 0)
 	t1 := f.lookup("db")
+	t1.ping(context.Background()) // statements are refused until it is answered
+	is.Equal(len(f.Health()), 0)
+	reply, _ := f.Start(context.Background(), work("t", statement.Read, "x", nil))
+	is.Equal(reply.Code, "")
+	is.Equal(len(f.Health()), 0)
 	r := t1.start(true)
 	f.clock.Advance(2 * time.Second)
 	is.Equal(f.Health()[0].Stuck, 2*time.Second)
@@ -476,3 +479,30 @@
 	t1.finish(read, false)
 	t1.finish(commit, false)
 }
+
+// Guards against statements that wait for a target which doesn't answer, and against a replica that gets
+// none any more after it has been silent.
+func TestSilentTargetRefusesWork(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	f.lease.Primary = false
+	f.Apply([]Lease{f.lease})
+	read := work("t", statement.Read, "x", nil)
+	read.Primary = false
+	f.target.broken = true
+	reply, _ := f.Start(context.Background(), read)
+	is.Equal(reply.Code, verdict.CodeUnavailable)
+	f.clock.Advance(silentBound)
+	f.target.broken = false
+	reply, _ = f.Start(context.Background(), read)
+	is.Equal(reply.Code, verdict.CodeUnavailable)
+	is.Equal(verdict.Verdict(reply.Verdict), verdict.NotRun)
+	is.Equal(f.target.dials, 0)
+	f.lookup("db").tick(context.Background())
+	deadline := time.Now().Add(time.Second)
+	for f.lookup("db").healthReport().Silent > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	reply, _ = f.Start(context.Background(), read)
+	is.Equal(reply.Code, "")
+}
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -15,6 +15,7 @@
 
 var (
 	errLeaseEnded = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the lease of the target has ended")
+	errSilent     = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the target doesn't answer")
 	errNotPrimary = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host may not do work that needs the primary")
 )
 
@@ -119,6 +120,8 @@
 		return errLeaseEnded
 	case primary && !t.grant.Primary:
 		return errNotPrimary
+	case t.health(t.m.cfg.Clock.Now()).Silent >= silentBound:
+		return errSilent
 	}
 	t.work++
 	if primary {
@@ -191,8 +194,8 @@
 	}
 }
 
-// tick ends work that has outlived its lease, asks a quiet primary for its position, and makes bad
-// health known.
+// tick ends work that has outlived its lease, asks a quiet primary, or a target that seems silent, for its
+// position, and makes bad health known.
 func (t *target) tick(ctx context.Context) {
 	now := t.m.cfg.Clock.Now()
 	if !t.valid(false) {
@@ -202,9 +205,11 @@
 	}
 	t.enforce()
 	t.mu.Lock()
-	ping := t.grant.Primary && !t.pinging && t.revoked.IsZero() && now.Sub(t.sampleAt) >= sampleInterval
+	unwell := t.unwell(now)
+	due := unwell || t.grant.Primary && now.Sub(t.sampleAt) >= sampleInterval
+	ping := due && !t.pinging && t.revoked.IsZero()
 	t.pinging = t.pinging || ping
-	poke := t.unwell(now) && now.Sub(t.reportedAt) >= reportInterval
+	poke := unwell && now.Sub(t.reportedAt) >= reportInterval
 	if poke {
 		t.reportedAt = now
 	}
