transport: show what fills a slow link

Cause: on the grown deployments hosts stop responding, and neither logs nor metrics tell whether handshakes, repeated statements, lost packets or renewals fill their links.

Change: statistics of each endpoint (packets, bytes lost, handshakes by side, failed dials, connections lost by silence, slowest round trip) and bytes of streams by kind, as metrics and in the state dump; an event "links slow" every 2 s while links are impaired; failed renewals are logged at info with their duration, and a histogram of renewal times. Endpoint.Stats replaces Traffic.

--- a/internal/agent/host_bench_test.go
+++ b/internal/agent/host_bench_test.go
@@ -139,8 +139,8 @@
 
 func (c *cluster) traffic() (sent, received uint64) {
 	for _, a := range c.agents {
-		s, r := a.Transport.Traffic()
-		sent, received = sent+s, received+r
+		stats := a.Transport.Stats()
+		sent, received = sent+stats.BytesSent, received+stats.BytesReceived
 	}
 	return sent, received
 }
--- a/internal/agent/leader_bench_test.go
+++ b/internal/agent/leader_bench_test.go
@@ -207,12 +207,12 @@
 
 	time.Sleep(benchWarmUp)
 	cpu, count, start := cpuTime(b), renewals.Load(), time.Now()
-	sent, received := endpoint.Traffic()
+	before := endpoint.Stats()
 	time.Sleep(benchDuration)
 	elapsed := time.Since(start).Seconds()
 	cpu = cpuTime(b) - cpu
 	count = renewals.Load() - count
-	sentAfter, receivedAfter := endpoint.Traffic()
+	after := endpoint.Stats()
 
 	stop()
 	cancel()
@@ -220,11 +220,11 @@
 	b.ReportMetric(100*cpu.Seconds()/elapsed, "%core")
 	b.ReportMetric(float64(count)/elapsed, "renewals/s")
 	if count > 0 {
-		b.ReportMetric(float64(sentAfter-sent)/float64(count), "sent_B/renewal")
-		b.ReportMetric(float64(receivedAfter-received)/float64(count), "received_B/renewal")
+		b.ReportMetric(float64(after.BytesSent-before.BytesSent)/float64(count), "sent_B/renewal")
+		b.ReportMetric(float64(after.BytesReceived-before.BytesReceived)/float64(count), "received_B/renewal")
 	}
-	b.ReportMetric(float64(sentAfter-sent)/elapsed, "sent_B/s")
-	b.ReportMetric(float64(receivedAfter-received)/elapsed, "received_B/s")
+	b.ReportMetric(float64(after.BytesSent-before.BytesSent)/elapsed, "sent_B/s")
+	b.ReportMetric(float64(after.BytesReceived-before.BytesReceived)/elapsed, "received_B/s")
 }
 
 func startBenchHosts(b *testing.B, ca *testtls.Authority, addr string, hosts, databases int) func() {
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -5,6 +5,7 @@
 var (
 	renewals        = metrics.NewCounter(`citron_agent_renewals_total`)
 	renewalsFailed  = metrics.NewCounter(`citron_agent_renewals_failed_total`)
+	renewalSeconds  = metrics.NewHistogram(`citron_agent_renewal_seconds`) // from the request to the reply of the leader
 	borrowsGranted  = metrics.NewCounter(`citron_agent_borrows_total{result="lot"}`)
 	borrowsEmpty    = metrics.NewCounter(`citron_agent_borrows_total{result="empty"}`)
 	borrowsFailed   = metrics.NewCounter(`citron_agent_borrows_total{result="failed"}`)
--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -75,7 +75,7 @@
 		cancel()
 		if err != nil {
 			renewalsFailed.Inc()
-			_ = level.Debug(a.Logger).Log("msg", "renewal failed", "control", addr, "err", err)
+			_ = level.Info(a.Logger).Log("msg", "renewal failed", "control", addr, "took", a.Clock.Now().Sub(sent).Round(time.Millisecond), "err", err)
 			a.recordNoAnswer(addr)
 			continue
 		}
@@ -84,6 +84,7 @@
 			continue
 		}
 		renewals.Inc()
+		renewalSeconds.Update(a.Clock.Now().Sub(sent).Seconds())
 		a.applyReply(sent, addr, req, &reply)
 		return
 	}
--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -372,14 +372,16 @@
 		"citron_control_renewals_total", "citron_control_lots_refused_total", `citron_control_changes_total{result="accepted"}`,
 		"citron_agent_confirmed_seconds", "citron_agent_leases", "citron_agent_renewals_total", "citron_agent_borrows_total",
 		"citron_transport_sent_bytes_total", "citron_transport_received_bytes_total",
+		`citron_transport_handshakes_total{side="accepted"}`, `citron_transport_stream_bytes_total{kind="renew",direction="read"}`,
+		"citron_agent_renewal_seconds",
 	} {
 		if !strings.Contains(out.String(), name) {
 			t.Errorf("metric %s is missing", name)
 		}
 	}
-	before := leader.traffic()
-	is.True(before.Sent > 0 && before.Received > 0 && before.Connections > 0)
+	before := leader.endpoint.Stats()
+	is.True(before.BytesSent > 0 && before.BytesReceived > 0 && before.Connections > 0)
 	leader.endpoint.CloseConn(cluster.relays["entry-1"].addr())
-	is.True(leader.traffic().Sent >= before.Sent) // the traffic of closed connections is still counted
+	is.True(leader.endpoint.Stats().BytesSent >= before.BytesSent) // the traffic of closed connections is still counted
 	is.True(leader.stateSections()["transport"]() != nil)
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -195,7 +195,7 @@
 
 // stateSections returns the sections of the state dump by name.
 func (d *Daemon) stateSections() map[string]func() any {
-	sections := map[string]func() any{"agent": d.agent.State, "transport": func() any { return d.traffic() }}
+	sections := map[string]func() any{"agent": d.agent.State, "transport": func() any { return d.endpoint.Stats() }}
 	if d.entry != nil {
 		sections["entry"] = d.entry.State
 		sections["owner"] = d.owner.State
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/citronrun/citronrun/internal/settings"
+	"github.com/citronrun/citronrun/internal/transport"
+	"github.com/citronrun/citronrun/internal/wire"
 )
 
 // buildMetrics registers the gauges of this host. Counters are registered by the packages that
@@ -18,9 +21,7 @@
 		}
 		return 0
 	})
-	gauge(`citron_transport_sent_bytes_total`, func() float64 { return float64(d.traffic().Sent) })
-	gauge(`citron_transport_received_bytes_total`, func() float64 { return float64(d.traffic().Received) })
-	gauge(`citron_transport_connections`, func() float64 { return float64(d.traffic().Connections) })
+	d.buildTransportMetrics(gauge)
 	if !d.settings.Has(settings.RoleControl) {
 		return nil
 	}
@@ -37,14 +38,25 @@
 	return nil
 }
 
-// traffic is the transport's section of the state dump.
-type traffic struct {
-	Sent        uint64 `json:"sent_bytes"`
-	Received    uint64 `json:"received_bytes"`
-	Connections int    `json:"connections"`
-}
-
-func (d *Daemon) traffic() traffic {
-	sent, received := d.endpoint.Traffic()
-	return traffic{Sent: sent, Received: received, Connections: d.endpoint.Connections()}
+// buildTransportMetrics registers the gauges of the connections to other hosts.
+func (d *Daemon) buildTransportMetrics(gauge func(name string, f func() float64)) {
+	for name, value := range map[string]func(transport.Stats) float64{
+		`citron_transport_sent_bytes_total`:                  func(s transport.Stats) float64 { return float64(s.BytesSent) },
+		`citron_transport_received_bytes_total`:              func(s transport.Stats) float64 { return float64(s.BytesReceived) },
+		`citron_transport_sent_packets_total`:                func(s transport.Stats) float64 { return float64(s.PacketsSent) },
+		`citron_transport_received_packets_total`:            func(s transport.Stats) float64 { return float64(s.PacketsReceived) },
+		`citron_transport_lost_bytes`:                        func(s transport.Stats) float64 { return float64(s.BytesLost) },
+		`citron_transport_handshakes_total{side="dialed"}`:   func(s transport.Stats) float64 { return float64(s.Dials) },
+		`citron_transport_handshakes_total{side="accepted"}`: func(s transport.Stats) float64 { return float64(s.Accepted) },
+		`citron_transport_handshakes_failed_total`:           func(s transport.Stats) float64 { return float64(s.DialsFailed) },
+		`citron_transport_timeouts_total`:                    func(s transport.Stats) float64 { return float64(s.TimedOut) },
+		`citron_transport_connections`:                       func(s transport.Stats) float64 { return float64(s.Connections) },
+		`citron_transport_slowest_round_trip_seconds`:        func(s transport.Stats) float64 { return s.SlowestRTT.Seconds() },
+	} {
+		gauge(name, func() float64 { return value(d.endpoint.Stats()) })
+	}
+	for kind := range wire.KindCount {
+		gauge(fmt.Sprintf(`citron_transport_stream_bytes_total{kind=%q,direction="written"}`, kind), func() float64 { return float64(d.endpoint.StreamBytesOf(kind).Written) })
+		gauge(fmt.Sprintf(`citron_transport_stream_bytes_total{kind=%q,direction="read"}`, kind), func() float64 { return float64(d.endpoint.StreamBytesOf(kind).Read) })
+	}
 }
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, connectError(addr, err)
 	}
-	return &stream{quicStream: quicStream, header: header}, nil
+	return &stream{quicStream: quicStream, header: header, bytes: e.counterOf(kind)}, nil
 }
 
 func connectError(addr string, err error) error {
@@ -99,6 +99,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	c := &cachedConn{done: make(chan struct{}), cancel: cancel}
 	e.cached[addr] = c
+	e.totals.Dials++
 	go e.dial(ctx, c, addr)
 	return c, nil
 }
@@ -113,9 +114,13 @@
 		return
 	}
 	c.conn, c.err = e.transport.Dial(ctx, udpAddr, e.dialTLS, e.quic)
-	if c.err == nil {
-		go e.serveConn(c.conn)
+	if c.err != nil {
+		e.mu.Lock()
+		e.totals.DialsFailed++
+		e.mu.Unlock()
+		return
 	}
+	go e.serveConn(c.conn)
 }
 
 // Call opens a stream, sends req, and reads one response of at most wire.MaxSnapshotBytes into resp. If resp
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -56,12 +56,14 @@
 	handlers      map[wire.Kind]Handler
 	requiredUnits map[wire.Kind]string // organisational unit that the peer's certificate must have
 
-	mu                         sync.Mutex
-	cached                     map[string]*cachedConn // by address of the peer
-	refusing                   bool                   // RefuseNewStreams was called
-	closed                     bool
-	openConns                  map[*quic.Conn]struct{} // including accepted ones
-	closedSent, closedReceived uint64                  // bytes sent and received on closed connections
+	streamBytes [wire.KindCount]streamCounter // by kind
+
+	mu        sync.Mutex
+	cached    map[string]*cachedConn // by address of the peer
+	refusing  bool                   // RefuseNewStreams was called
+	closed    bool
+	openConns map[*quic.Conn]struct{} // including accepted ones
+	totals    Stats                   // of closed connections; dials and accepted connections of all
 
 	activeStreams sync.WaitGroup
 	workers       *workers.Pool
@@ -130,27 +132,6 @@
 // Addr returns the bound address, IP:PORT.
 func (e *Endpoint) Addr() string { return e.socket.LocalAddr().String() }
 
-// Traffic returns the number of bytes sent and received on all connections since Listen, excluding UDP and
-// IP headers.
-func (e *Endpoint) Traffic() (sent, received uint64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	sent, received = e.closedSent, e.closedReceived
-	for conn := range e.openConns {
-		stats := conn.ConnectionStats()
-		sent += stats.BytesSent
-		received += stats.BytesReceived
-	}
-	return sent, received
-}
-
-// Connections returns the number of open connections.
-func (e *Endpoint) Connections() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.openConns)
-}
-
 func (e *Endpoint) track(conn *quic.Conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -163,8 +144,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.openConns, conn)
-	e.closedSent += stats.BytesSent
-	e.closedReceived += stats.BytesReceived
+	e.totals.add(stats)
+	e.totals.recordEnd(context.Cause(conn.Context()))
 }
 
 // Handle registers the handler for streams of a kind. It must be called before Serve.
@@ -178,6 +159,7 @@
 
 // Serve accepts connections until ctx ends or Close is called. It returns nil in both cases.
 func (e *Endpoint) Serve(ctx context.Context) error {
+	go e.reportLinks(ctx)
 	for {
 		conn, err := e.listener.Accept(ctx)
 		if ctx.Err() != nil || errors.Is(err, quic.ErrServerClosed) || errors.Is(err, quic.ErrTransportClosed) {
@@ -198,6 +180,7 @@
 	addr := conn.RemoteAddr().String()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.totals.Accepted++
 	if cached := e.cached[addr]; e.closed || cached != nil && cached.usable() {
 		return
 	}
@@ -268,7 +251,8 @@
 func (e *Endpoint) serveStream(conn *quic.Conn, peer string, quicStream *quic.Stream) {
 	defer e.activeStreams.Done()
 	s := &stream{quicStream: quicStream}
-	handler, err := e.readHeader(conn, quicStream)
+	handler, kind, err := e.readHeader(conn, quicStream)
+	s.bytes = e.counterOf(kind)
 	if err != nil {
 		_ = level.Debug(e.logger).Log("msg", "stream refused", "peer", peer, "err", err)
 		s.cancel(codeRefused)
@@ -286,24 +270,24 @@
 	_ = s.Close()
 }
 
-// readHeader reads the stream header and returns the handler for its kind.
-func (e *Endpoint) readHeader(conn *quic.Conn, quicStream *quic.Stream) (Handler, error) {
+// readHeader reads the stream header and returns its kind and the handler for it.
+func (e *Endpoint) readHeader(conn *quic.Conn, quicStream *quic.Stream) (Handler, wire.Kind, error) {
 	if err := quicStream.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	var header wire.Header
 	if err := wire.Read(quicStream, &header, maxHeaderBytes); err != nil {
-		return nil, fmt.Errorf("read stream header: %w", err)
+		return nil, 0, fmt.Errorf("read stream header: %w", err)
 	}
 	if header.Version != wire.Version {
-		return nil, fmt.Errorf("unsupported protocol version %d, want %d", header.Version, wire.Version)
+		return nil, 0, fmt.Errorf("unsupported protocol version %d, want %d", header.Version, wire.Version)
 	}
 	handler, ok := e.handlers[header.Kind]
 	if !ok {
-		return nil, fmt.Errorf("no handler for stream kind %d", header.Kind)
+		return nil, 0, fmt.Errorf("no handler for stream kind %d", header.Kind)
 	}
 	if unit, ok := e.requiredUnits[header.Kind]; ok && !hasUnit(conn.ConnectionState().TLS, unit) {
-		return nil, fmt.Errorf("stream kind %d requires a certificate with the organisational unit %q", header.Kind, unit)
+		return nil, 0, fmt.Errorf("stream kind %d requires a certificate with the organisational unit %q", header.Kind, unit)
 	}
-	return handler, quicStream.SetReadDeadline(time.Time{})
+	return handler, header.Kind, quicStream.SetReadDeadline(time.Time{})
 }
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -31,6 +31,7 @@
 // stream is a Stream that delays the header until the first write, so that both are sent in one packet.
 type stream struct {
 	quicStream *quic.Stream
+	bytes      *streamCounter // of all streams of the same kind
 
 	mu     sync.Mutex
 	header []byte // nil once sent
@@ -59,16 +60,20 @@
 	if err := s.flushHeader(); err != nil {
 		return 0, err
 	}
-	return s.quicStream.Read(p)
+	n, err := s.quicStream.Read(p)
+	s.bytes.read.Add(uint64(n))
+	return n, err
 }
 
 // Write sends p, preceded by the header if that has not been sent.
 func (s *stream) Write(p []byte) (int, error) {
 	header := s.takeHeader()
-	if header == nil {
-		return s.quicStream.Write(p)
+	data := p
+	if header != nil {
+		data = append(header, p...)
 	}
-	n, err := s.quicStream.Write(append(header, p...))
+	n, err := s.quicStream.Write(data)
+	s.bytes.written.Add(uint64(n))
 	return max(0, n-len(header)), err
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -40,8 +40,22 @@
 	KindStatement                  // StatementRequest, then BlockStatementRequest; each answered by StatementReply
 	KindRegister                   // Registration, answered by RegistrationReply
 	KindDeployment                 // DeploymentQuery, answered by DeploymentReply
+
+	KindCount // number of kinds, including the unused kind 0
 )
 
+// kindNames are the values of the label kind of metrics.
+var kindNames = [KindCount]string{"unknown", "renew", "borrow", "tx", "cancel", "raft", "change", "announce", "probe", "admin", "renew_now",
+	"statement", "register", "deployment"}
+
+// String returns the name of the kind in metrics.
+func (k Kind) String() string {
+	if k >= KindCount {
+		k = 0
+	}
+	return kindNames[k]
+}
+
 // Header is the first message of each stream.
 type Header struct {
 	Version uint8 `cbor:"1,keyasint"`
