transport: make connections in advance and give handshakes time

Cause: metastable congestion. Hosts dialed a holder at the first statement, all at the same time. A handshake takes 4 to 6 KB in padded packets, which are repeated after 200 ms; 60 of them need longer than the 1 s after which they were given up and dialed again. Connections idle for 1.5 s ended likewise, so that every delay above that time started it anew. Renewals waited in the same queue, the lease ended, and the next holder inherited the load.

Change: entry hosts learn each other's addresses with renewals and keep connections to each other and to the control hosts, dialed one by one. A handshake may take 4 s; callers wait 2 s for it at most. Idle connections are kept; a peer counts as silent when it leaves data or a probe unanswered for 1.5 s. A restarted process resets the connections of its predecessor, and a connection that it dials replaces the cached one. No session tickets, which nobody used.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -84,6 +84,8 @@
 	nextControl            int      // index into controlAddrs() of the host to try when the leader is unknown
 	leaderReachable        bool     // as last logged; false: no leader answers
 	advertisedControlAddrs []string // control hosts listed in the latest reply of a leader
+	hostAddrs              []string // entry hosts listed in the latest reply that had a list
+	hostsVersion           uint64   // version of hostAddrs, as counted by the leader of the current term
 	sequence               uint64   // of the latest renewal
 	targets                targetState
 	renewed                chan struct{} // closed and replaced after each successful renewal
--- a/internal/agent/renew.go
+++ b/internal/agent/renew.go
@@ -229,6 +229,10 @@
 	if len(reply.ControlAddrs) > 0 {
 		a.advertisedControlAddrs = reply.ControlAddrs
 	}
+	if len(reply.HostAddrs) > 0 {
+		a.hostAddrs = reply.HostAddrs
+	}
+	a.hostsVersion = reply.HostsVersion
 	for _, grant := range reply.TokenGrants {
 		a.borrower.AddGrant(sent, grant)
 	}
--- a/internal/agent/targets.go
+++ b/internal/agent/targets.go
@@ -116,6 +116,7 @@
 	req.Sequence = a.sequence
 	req.Uptime = now.Sub(a.started)
 	req.TargetsVersion = a.targets.routesVersion
+	req.HostsVersion = a.hostsVersion
 	for name, h := range a.targets.held {
 		if !now.Before(h.lease.ExpiresAt) {
 			continue // expired, so no work runs under it
@@ -185,6 +186,19 @@
 	return all
 }
 
+// Peers returns the addresses of the other entry hosts and of the control hosts, as far as they are known.
+func (a *Agent) Peers() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var peers []string
+	for _, addr := range append(a.controlAddrs(), a.hostAddrs...) {
+		if addr != a.Addr {
+			peers = append(peers, addr)
+		}
+	}
+	return peers
+}
+
 // SetControlAddrs replaces ControlSeeds. The control hosts that the leader's replies have named are kept.
 func (a *Agent) SetControlAddrs(addrs []string) {
 	a.mu.Lock()
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -48,6 +48,9 @@
 	targetRoutes        []wire.TargetRoute       // routes to all targets, sorted by target
 	controlAddrs        []string                 // addresses of the control hosts
 	targetRoutesVersion uint64                   // increases with each change of targetRoutes or controlAddrs
+	entryAddrs          []string                 // addresses of the live entry hosts, sorted
+	entryAddrsVersion   uint64                   // increases with each change of entryAddrs
+	entryAddrsCheckedAt time.Time
 
 	ownedServices        map[string][]string // cache of servicesByOwner: services by owner
 	ownedServicesVersion uint64              // Machine.RoutesVersion that ownedServices was computed from
--- a/internal/control/target_leases.go
+++ b/internal/control/target_leases.go
@@ -60,6 +60,46 @@
 	reply.ControlAddrs = leader.controlAddrs
 }
 
+const (
+	// entryAddrsInterval is the time between two updates of the list of entry hosts.
+	entryAddrsInterval = time.Second
+	// entryAddrTTL is how long after its last renewal a host stays in that list.
+	entryAddrTTL = 10 * time.Second
+)
+
+// addEntryAddrs adds the addresses of all entry hosts to the reply, unless the host has their current version.
+// Entry hosts keep connections to each other.
+func (l *leaderState) addEntryAddrs(now time.Time, reply *wire.RenewReply, req *wire.Renew) {
+	if !req.Entry {
+		return
+	}
+	l.updateEntryAddrs(now)
+	reply.HostsVersion = l.entryAddrsVersion
+	if req.HostsVersion != l.entryAddrsVersion || req.LeaderTerm != l.term {
+		reply.HostAddrs = l.entryAddrs
+	}
+}
+
+// updateEntryAddrs rebuilds the list of entry hosts if it is older than entryAddrsInterval, and increments its version
+// if it has changed.
+func (l *leaderState) updateEntryAddrs(now time.Time) {
+	if now.Sub(l.entryAddrsCheckedAt) < entryAddrsInterval {
+		return
+	}
+	l.entryAddrsCheckedAt = now
+	var addrs []string
+	for _, h := range l.hosts {
+		if h.entry && now.Sub(h.renewedAt) <= entryAddrTTL {
+			addrs = append(addrs, h.addr)
+		}
+	}
+	slices.Sort(addrs)
+	if !slices.Equal(addrs, l.entryAddrs) {
+		l.entryAddrs = addrs
+		l.entryAddrsVersion++
+	}
+}
+
 // updateRoutes rebuilds the routes to all targets and the list of control hosts, and increments their version
 // if either has changed.
 func (s *Server) updateRoutes(leader *leaderState, now time.Time) {
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -206,6 +206,7 @@
 	s.placeTargets(leader, now)
 	s.addTargetGrants(leader, now, reply, req)
 	s.addTargetRoutes(leader, reply, req)
+	leader.addEntryAddrs(now, reply, req)
 }
 
 // recordHealth stores the health reports of a renewal. A held target without a report is healthy.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,6 +201,10 @@
 		d.startComponent("entry", func() error { return d.serveCallers(ctx) })
 	}
 	if d.gateway != nil {
+		d.startComponent("peers", func() error {
+			d.endpoint.KeepConnected(ctx, d.agent.Peers)
+			return nil
+		})
 		d.startComponent("holder", func() error { return d.holder.Run(ctx) })
 		d.startComponent("callers", func() error { return d.serveGateway() })
 	}
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// dialing reports whether the connection is being dialed.
+func (c *cachedConn) dialing() bool {
+	select {
+	case <-c.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // close cancels the dialing or closes the connection. The peer sees the same code and reason whether the endpoint
 // is closed or, by CloseConn, only this connection.
 func (c *cachedConn) close() {
@@ -48,17 +58,37 @@
 	if err != nil {
 		return nil, connectError(addr, err)
 	}
-	conn, err := e.connect(ctx, addr)
+	conn, quicStream, err := e.openStream(ctx, addr)
 	if err != nil {
 		return nil, connectError(addr, err)
 	}
-	quicStream, err := conn.OpenStreamSync(ctx)
-	if err != nil {
-		return nil, connectError(addr, err)
+	s := newStream(quicStream, e.activityOf(conn), header)
+	s.bytes = e.counterOf(kind)
+	return s, nil
+}
+
+// openStream opens a stream on the cached connection to addr, or on a new one if the cached one has just ended.
+func (e *Endpoint) openStream(ctx context.Context, addr string) (*quic.Conn, *quic.Stream, error) {
+	for retried := false; ; retried = true {
+		conn, err := e.connect(ctx, addr)
+		if err != nil {
+			return nil, nil, err
+		}
+		quicStream, err := conn.OpenStreamSync(ctx)
+		if err == nil {
+			return conn, quicStream, nil
+		}
+		if ctx.Err() != nil || retried {
+			return nil, nil, err
+		}
+		e.mu.Lock()
+		e.forget(conn)
+		e.mu.Unlock()
 	}
-	return &stream{quicStream: quicStream, header: header, bytes: e.counterOf(kind)}, nil
 }
 
+var errDialPending = errors.New("the handshake is not complete yet")
+
 func connectError(addr string, err error) error {
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "connect to %s: %w", addr, err)
 }
@@ -71,13 +101,15 @@
 	return buf.Bytes(), nil
 }
 
-// connect returns the cached connection to addr, or dials one. Concurrent callers share one dial, which
-// therefore is not bound to the context of the caller that started it.
+// connect returns the cached connection to addr, or dials one, and waits for it for dialWaitLimit at most.
+// Concurrent callers share one dial, which therefore is not bound to the context of the caller that started it.
 func (e *Endpoint) connect(ctx context.Context, addr string) (*quic.Conn, error) {
 	c, err := e.dialOrCached(addr)
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeoutCause(ctx, dialWaitLimit, errDialPending)
+	defer cancel()
 	select {
 	case <-c.done:
 		return c.conn, c.err
@@ -120,6 +152,7 @@
 		e.mu.Unlock()
 		return
 	}
+	e.track(c.conn)
 	go e.serveConn(c.conn)
 }
 
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -26,10 +26,14 @@
 const Protocol = "citron/1"
 
 const (
-	keepAlivePeriod  = 500 * time.Millisecond
-	idleTimeout      = 1500 * time.Millisecond
-	handshakeTimeout = 1 * time.Second
+	// keepAlivePeriod and idleTimeout apply to connections without data in flight; see also silenceLimit.
+	keepAlivePeriod = 10 * time.Second
+	idleTimeout     = 30 * time.Second
+	// handshakeTimeout is longer than a slow link may delay a packet: a handshake that is given up while its
+	// packets wait in a queue has filled the link for nothing.
+	handshakeTimeout = 4 * time.Second
 	dialTimeout      = 2 * handshakeTimeout
+	dialWaitLimit    = 2 * time.Second // of one caller for a dial
 	headerTimeout    = 5 * time.Second
 	maxHeaderBytes   = 64
 	maxIdleWorkers   = 256
@@ -62,12 +66,12 @@
 	cached    map[string]*cachedConn // by address of the peer
 	refusing  bool                   // RefuseNewStreams was called
 	closed    bool
-	openConns map[*quic.Conn]struct{} // including accepted ones
-	totals    Stats                   // of closed connections; dials and accepted connections of all
+	openConns map[*quic.Conn]*connActivity // including accepted ones
+	totals    Stats                        // of closed connections; dials and accepted connections of all
 
 	activeStreams sync.WaitGroup
 	workers       *workers.Pool
-	stopWorkers   context.CancelFunc // ends the idle workers
+	stopWorkers   context.CancelFunc // ends the idle workers and closeSilent
 }
 
 // Listen binds a UDP socket to addr, which is IP:PORT; port 0 selects a free port. conf applies to accepted and dialed
@@ -93,17 +97,18 @@
 	}
 	e := &Endpoint{
 		socket:        socket,
-		transport:     &quic.Transport{Conn: socket},
+		transport:     &quic.Transport{Conn: socket, StatelessResetKey: resetKey(conf)},
 		dialTLS:       dialTLS,
 		quic:          quicConfig(),
 		logger:        log.With(logger, "part", "transport"),
 		handlers:      map[wire.Kind]Handler{},
 		requiredUnits: map[wire.Kind]string{},
 		cached:        map[string]*cachedConn{},
-		openConns:     map[*quic.Conn]struct{}{},
+		openConns:     map[*quic.Conn]*connActivity{},
 	}
 	ctx, stopWorkers := context.WithCancel(context.Background())
 	e.workers, e.stopWorkers = workers.New(maxIdleWorkers, ctx.Done()), stopWorkers
+	go e.closeSilent(ctx)
 	e.listener, err = e.transport.Listen(serverTLS, e.quic)
 	if err != nil {
 		stopWorkers()
@@ -126,16 +131,28 @@
 		MaxConnectionReceiveWindow:     maxConnWindow,
 		// Most messages fit into one packet, so MTU probes cost more than larger packets would save.
 		DisablePathMTUDiscovery: true,
+		EnableDatagrams:         true, // for probes
 	}
 }
 
 // Addr returns the bound address, IP:PORT.
 func (e *Endpoint) Addr() string { return e.socket.LocalAddr().String() }
 
+// track registers a new connection until untrack.
 func (e *Endpoint) track(conn *quic.Conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.openConns[conn] = struct{}{}
+	e.openConns[conn] = &connActivity{}
+}
+
+// activityOf returns the activity of a connection. That of a connection that has ended is not checked any more.
+func (e *Endpoint) activityOf(conn *quic.Conn) *connActivity {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if activity := e.openConns[conn]; activity != nil {
+		return activity
+	}
+	return &connActivity{}
 }
 
 // untrack removes a closed connection and adds its traffic to the totals.
@@ -168,20 +185,22 @@
 		if err != nil {
 			return fmt.Errorf("accept connection: %w", err)
 		}
+		e.track(conn)
 		e.cacheAccepted(conn)
 		go e.serveConn(conn)
 	}
 }
 
-// cacheAccepted makes an accepted connection available to Open, unless there is already one to this
-// address. Peers dial from their listening socket, so the remote address is the one that Open is called
-// with.
+// cacheAccepted makes an accepted connection the one that Open uses, unless this host is dialing that address.
+// Peers dial from their listening socket, so the remote address is the one that Open is called with. A peer that
+// dials has no usable connection to this host: an older one belongs to an earlier process of the peer, or is about
+// to end.
 func (e *Endpoint) cacheAccepted(conn *quic.Conn) {
 	addr := conn.RemoteAddr().String()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.totals.Accepted++
-	if cached := e.cached[addr]; e.closed || cached != nil && cached.usable() {
+	if cached := e.cached[addr]; e.closed || cached != nil && cached.dialing() {
 		return
 	}
 	c := &cachedConn{done: make(chan struct{}), conn: conn, cancel: func() {}}
@@ -206,7 +225,7 @@
 }
 
 func (e *Endpoint) serveConn(conn *quic.Conn) {
-	e.track(conn)
+	activity := e.activityOf(conn)
 	defer e.untrack(conn)
 	peer, err := peerName(conn.ConnectionState().TLS)
 	if err != nil {
@@ -221,10 +240,10 @@
 		}
 		if !e.admitStream() {
 			// The connection stays open because responses to earlier streams may still be in transit.
-			(&stream{quicStream: quicStream}).cancel(codeRefused)
+			newStream(quicStream, activity, nil).cancel(codeRefused)
 			continue
 		}
-		e.workers.Go(func() { e.serveStream(conn, peer, quicStream) })
+		e.workers.Go(func() { e.serveStream(conn, activity, peer, quicStream) })
 	}
 }
 
@@ -248,9 +267,9 @@
 	return true
 }
 
-func (e *Endpoint) serveStream(conn *quic.Conn, peer string, quicStream *quic.Stream) {
+func (e *Endpoint) serveStream(conn *quic.Conn, activity *connActivity, peer string, quicStream *quic.Stream) {
 	defer e.activeStreams.Done()
-	s := &stream{quicStream: quicStream}
+	s := newStream(quicStream, activity, nil)
 	handler, kind, err := e.readHeader(conn, quicStream)
 	s.bytes = e.counterOf(kind)
 	if err != nil {
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -13,6 +14,7 @@
 	codeCancelled = 1 // the stream was reset by its user, or its remaining data is not wanted
 	codeRefused   = 2 // the stream was refused before a handler saw it
 	codeClosed    = 3 // the endpoint, or only this connection, was closed
+	codeSilent    = 4 // the peer was silent
 )
 
 // Stream carries a request and its response. Read and Write may be called concurrently with each other
@@ -32,11 +34,18 @@
 type stream struct {
 	quicStream *quic.Stream
 	bytes      *streamCounter // of all streams of the same kind
+	activity   *connActivity  // of the connection; counts the stream until it has ended
+	ended      atomic.Bool
 
 	mu     sync.Mutex
 	header []byte // nil once sent
 }
 
+func newStream(quicStream *quic.Stream, activity *connActivity, header []byte) *stream {
+	activity.streams.Add(1)
+	return &stream{quicStream: quicStream, activity: activity, header: header}
+}
+
 // takeHeader returns the header and marks it as sent, or returns nil if it has been sent.
 func (s *stream) takeHeader() []byte {
 	s.mu.Lock()
@@ -51,6 +60,7 @@
 	if header == nil {
 		return nil
 	}
+	s.activity.recordWrite(time.Now())
 	_, err := s.quicStream.Write(header)
 	return err
 }
@@ -72,6 +82,7 @@
 	if header != nil {
 		data = append(header, p...)
 	}
+	s.activity.recordWrite(time.Now())
 	n, err := s.quicStream.Write(data)
 	s.bytes.written.Add(uint64(n))
 	return max(0, n-len(header)), err
@@ -89,9 +100,17 @@
 func (s *stream) Close() error {
 	err := s.CloseWrite()
 	s.quicStream.CancelRead(codeCancelled)
+	s.end()
 	return err
 }
 
+// end stops counting the stream as open.
+func (s *stream) end() {
+	if !s.ended.Swap(true) {
+		s.activity.streams.Add(-1)
+	}
+}
+
 // Reset aborts both directions.
 func (s *stream) Reset() { s.cancel(codeCancelled) }
 
@@ -100,6 +119,7 @@
 	s.takeHeader()
 	s.quicStream.CancelWrite(code)
 	s.quicStream.CancelRead(code)
+	s.end()
 }
 
 // SetDeadline sets the deadline of reads and writes.
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -1,11 +1,14 @@
 package transport
 
 import (
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
 	"fmt"
 	"slices"
+
+	"github.com/quic-go/quic-go"
 )
 
 // tlsConfigs derives the TLS configurations for accepting and for dialing connections.
@@ -21,6 +24,7 @@
 	server.NextProtos = []string{Protocol}
 	server.MinVersion = tls.VersionTLS13
 	server.ClientAuth = tls.RequireAndVerifyClientCert
+	server.SessionTicketsDisabled = true
 	if server.ClientCAs == nil {
 		server.ClientCAs = conf.RootCAs
 	}
@@ -47,6 +51,7 @@
 	server.NextProtos = []string{Protocol}
 	server.MinVersion = tls.VersionTLS13
 	server.ClientAuth = tls.RequireAnyClientCert
+	server.SessionTicketsDisabled = true
 	client = conf.Clone()
 	client.NextProtos = []string{Protocol}
 	client.MinVersion = tls.VersionTLS13
@@ -72,6 +77,26 @@
 	return nil
 }
 
+// resetKey returns the key of the stateless resets by which a process tells its peers that it doesn't know a
+// connection, such as one of an earlier process of the host. It is the same for all processes of a host. With
+// unverified certificates, which are new at each start, it is derived from the name in the certificate: peers that
+// can't be authenticated have no protection against resets either.
+func resetKey(conf *tls.Config) *quic.StatelessResetKey {
+	if len(conf.Certificates) == 0 || len(conf.Certificates[0].Certificate) == 0 {
+		return nil
+	}
+	seed := []byte(nil)
+	if cert, err := x509.ParseCertificate(conf.Certificates[0].Certificate[0]); err == nil && conf.InsecureSkipVerify {
+		seed = []byte(cert.Subject.CommonName)
+	} else if der, err := x509.MarshalPKCS8PrivateKey(conf.Certificates[0].PrivateKey); err == nil {
+		seed = der
+	} else {
+		return nil
+	}
+	key := quic.StatelessResetKey(sha256.Sum256(append([]byte("citronrun stateless reset "), seed...)))
+	return &key
+}
+
 // peerName returns the host name of the peer, the common name of its certificate.
 func peerName(state tls.ConnectionState) (string, error) {
 	if len(state.PeerCertificates) == 0 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -135,6 +135,7 @@
 	Targets        []HeldTarget   `cbor:"16,keyasint,omitempty"` // all target leases held
 	Health         []TargetHealth `cbor:"17,keyasint,omitempty"` // unhealthy targets among those held
 	TargetsVersion uint64         `cbor:"18,keyasint,omitempty"` // version of the target routes known to the host
+	HostsVersion   uint64         `cbor:"20,keyasint,omitempty"` // version of the addresses of entry hosts known to the host
 }
 
 // TokenBalance reports a host's unspent tokens of a team. From all token grants with ids up to GrantID
@@ -193,6 +194,8 @@
 	TargetsFull    bool          `cbor:"15,keyasint,omitempty"` // TargetRoutes is set and is the complete table
 	TargetRoutes   []TargetRoute `cbor:"16,keyasint,omitempty"`
 	ControlAddrs   []string      `cbor:"17,keyasint,omitempty"` // QUIC addresses of all control hosts; set with TargetsFull
+	HostsVersion   uint64        `cbor:"18,keyasint,omitempty"`
+	HostAddrs      []string      `cbor:"19,keyasint,omitempty"` // QUIC addresses of all live entry hosts, if their version differs from the host's
 }
 
 // Route names the host that owns a service.
