ratelimit: lend tokens for waiting statements for a short time only

Callers of every team were refused because of an exceeded rate, though hardly any request was beyond a limit.

Cause: idle reservations of a shared resource. A host kept the tokens of a borrow call, which asked for more than it needed, and of the next renewals for 2 s; at 60 hosts and 16 statements/s of a team the tokens lay at hosts that didn't need them, and the leader's bucket was empty.

Change: a borrow call lends only for statements that wait, for a quarter of burst/rate, 50 to 250 ms. Such a loan counts as outstanding until it has expired, so that the bound of a window stays exact. Renewals lend reserves for 2 s to hosts whose demand is steady, two tokens an interval or more. A new leader counts the whole burst as outstanding until loans of its predecessor have expired. A host relies on an empty bucket for 100 ms instead of 300, and statements wait for tokens up to 200 ms instead of 100.

Tests: Lend takes no flag any more; what TestNewLeaderLendsRemainder checked with borrow calls is true of reserves, so it now asks for reserves. The demand of simulated hosts no longer arises at the same moments.

--- a/internal/agent/tokens.go
+++ b/internal/agent/tokens.go
@@ -21,7 +21,7 @@
 	emptyBorrowSpacing = 100 * time.Millisecond
 	// emptyBorrowTTL is how long AcquireTokensFailFast relies on a reply that a team's bucket is empty.
 	// Tokens that become available in the meantime arrive with renewals.
-	emptyBorrowTTL = 300 * time.Millisecond
+	emptyBorrowTTL = 100 * time.Millisecond
 	// While no leader answers, requests wait for tokens only until controlWaitLimit after the last
 	// successful renewal. It covers a leader election and the search for the new leader.
 	controlWaitLimit    = 5 * time.Second
@@ -193,7 +193,7 @@
 	sleep(ctx, delay)
 	a.mu.Lock()
 	delete(a.pendingBorrows, team)
-	want := a.borrower.BorrowAmount(team, call.tokens)
+	want := call.tokens
 	a.lastBorrow[team] = borrowOutcome{at: a.Clock.Now()}
 	a.mu.Unlock()
 	sent := time.Time{}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -145,7 +145,7 @@
 		leader.lender.Settle(now, borrower, team, balance)
 	}
 	for team, tokens := range req.Demand {
-		grant := leader.lender.Lend(now, borrower, team, tokens, true)
+		grant := leader.lender.Lend(now, borrower, team, tokens)
 		countTokenGrant(grant)
 		if grant.Tokens > 0 {
 			reply.TokenGrants = append(reply.TokenGrants, grant)
@@ -173,7 +173,7 @@
 	s.updateRateLimits(leader, now)
 	borrower := borrowerID(req.Host, req.BootID)
 	leader.lender.Settle(now, borrower, req.Team, req.Balance)
-	grant := leader.lender.Lend(now, borrower, req.Team, req.Tokens, false)
+	grant := leader.lender.Borrow(now, borrower, req.Team, req.Tokens)
 	countTokenGrant(grant)
 	return &grant, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,7 @@
 	// retryInterval is the time between two searches for a usable target.
 	retryInterval = 10 * time.Millisecond
 	// rateTokenWaitLimit bounds the wait for a rate token from the control leader.
-	rateTokenWaitLimit = 100 * time.Millisecond
+	rateTokenWaitLimit = 200 * time.Millisecond
 	// readAttemptTimeout is how long a read may take, beyond the queue wait that its target has announced,
 	// before it is cancelled and sent to another target. The longest statements take 170 ms.
 	readAttemptTimeout = 300 * time.Millisecond
--- a/internal/ratelimit/borrower.go
+++ b/internal/ratelimit/borrower.go
@@ -11,13 +11,10 @@
 	// DefaultReserve is the number of intervals whose estimated demand a renewal asks for. An interval is the
 	// time between two renewals of the host, see RenewalInterval.
 	DefaultReserve = 1.25
-	// borrowedFraction is the fraction of the reserve that a borrow call between two renewals asks for. With
-	// DefaultReserve that is the demand of half an interval.
-	borrowedFraction = 0.5 / DefaultReserve
-	// demandDecay is the weight of the previous estimate when demand falls. A rise takes effect at once.
+	// demandDecay is the weight of the previous estimate.
 	demandDecay = 0.5
-	// minEstimate is the demand in tokens per interval below which a team counts as idle.
-	minEstimate = 0.5
+	// minEstimate is the demand in tokens per interval below which a host keeps no reserve of a team.
+	minEstimate = 2
 )
 
 // Borrower holds the grants of one host and spends them. It is not safe for concurrent use.
@@ -121,25 +118,15 @@
 	return total
 }
 
-// BorrowAmount returns how many tokens to borrow between renewals when a Spend of n tokens has failed: n plus
-// borrowedFraction of the reserve. The reserve is computed from the estimated demand, or from the demand since
-// the last renewal if that is higher.
-func (b *Borrower) BorrowAmount(team string, n uint64) uint64 {
-	state := b.teamState(team)
-	demand := max(state.estimate, state.demand-float64(n))
-	return n + uint64(math.Ceil(demand*b.reserve*borrowedFraction))
-}
-
 // EndInterval ends the interval and updates the demand estimates. It returns the tokens to ask for in the
-// renewal that starts the next interval, by team, without teams that need none.
+// renewal that starts the next interval, by team, without teams that need none or too little for a reserve.
 func (b *Borrower) EndInterval(now time.Time) map[string]uint64 {
 	amounts := map[string]uint64{}
 	for team, state := range b.teams {
-		state.estimate = max(state.demand, demandDecay*state.estimate+(1-demandDecay)*state.demand)
+		state.estimate = demandDecay*state.estimate + (1-demandDecay)*state.demand
 		state.demand = 0
 		remaining := state.remaining(now)
 		if state.estimate < minEstimate {
-			state.estimate = 0
 			continue
 		}
 		if want := uint64(math.Ceil(b.reserve * state.estimate)); want > remaining {
--- a/internal/ratelimit/lender.go
+++ b/internal/ratelimit/lender.go
@@ -13,10 +13,16 @@
 // outstanding at a plus those lent after a. The latter are at most level(a)+rate*(b-a), so the bound
 // is exact.
 //
+// There are two kinds of grants. A renewal asks for a reserve that lasts for about one interval, with GrantTTL. A
+// borrow call asks for the tokens of statements that are waiting, with BorrowTTL: they are spent at once, and what
+// isn't is lost soon. A team with few tokens for each host is served by borrow calls alone, because reserves at
+// all hosts would hold its whole burst.
+//
 // A new leader doesn't know which grants its predecessor has lent. No leader has more than
-// maxOutstandingFraction of a burst outstanding, so the new leader counts that much as outstanding until the
-// inherited grants have expired. Its buckets start empty, and it lends the remainder as they refill, without
-// waiting for that expiry. This requires that the inherited grants come from a single leader, see NewLender.
+// maxReserveFraction of a burst outstanding in reserves, so the new leader counts that much as outstanding until the
+// inherited reserves have expired, and the whole burst until the inherited borrowed tokens have. Its buckets start
+// empty, and it lends the remainder as they refill. This requires that the inherited grants come from a single leader,
+// see NewLender.
 package ratelimit
 
 import (
@@ -27,20 +33,27 @@
 )
 
 const (
-	// GrantTTL is how long a host may spend a grant, counted from the moment it sent the request.
+	// GrantTTL is how long a host may spend a reserve, counted from the moment it sent the request.
 	GrantTTL = 2 * time.Second
-	// GrantExpiryWait is how long the leader counts a grant as outstanding if its host does not report it as
+	// GrantExpiryWait is how long the leader counts a reserve as outstanding if its host does not report it as
 	// spent: GrantTTL plus 10% for hosts with slow clocks.
 	GrantExpiryWait = GrantTTL + GrantTTL/10
+	// minBorrowTTL and maxBorrowTTL bound how long borrowed tokens may be spent. The time covers the way of the reply
+	// to the host.
+	minBorrowTTL = 50 * time.Millisecond
+	maxBorrowTTL = 250 * time.Millisecond
+	// borrowBurstFraction is the greatest fraction of a burst that is outstanding in borrowed tokens of a team at
+	// its rate. Hosts don't report how many of them they have spent, so all count until they expire.
+	borrowBurstFraction = 0.25
 	// RenewalInterval is the time between two renewals of a host. A renewal asks for the demand of about one
 	// interval.
 	RenewalInterval = 500 * time.Millisecond
 
-	// maxOutstandingFraction bounds the outstanding tokens of a team as a fraction of its burst. The
-	// remainder is what a new leader can lend before the grants of its predecessor have expired.
-	maxOutstandingFraction = 0.75
+	// maxReserveFraction bounds the outstanding reserves of a team as a fraction of its burst. The remainder is
+	// what a new leader can lend before the reserves of its predecessor have expired.
+	maxReserveFraction = 0.75
 	// minSplitBurst is the burst in tokens below which the remainder would be less than one token.
-	// All of a smaller burst may be outstanding.
+	// All of a smaller burst may be outstanding in reserves.
 	minSplitBurst = 4
 
 	// demandTTL is the time after which the last demand of a borrower is ignored.
@@ -66,9 +79,11 @@
 	rate, burst float64
 	level       float64
 	refilledAt  time.Time // time of the last refill
-	outstanding float64
+	outstanding float64   // reserves and borrowed tokens
 	accounts    map[string]*account
-	expiries    []expiry // of all grants, earliest first
+	expiries    []expiry    // of all reserves, earliest first
+	borrowed    []lentGrant // by expiry
+	borrowedSum float64     // of borrowed
 
 	intervalStart time.Time // start of the current demand interval
 	supply        float64   // estimate of the tokens that can be lent in the interval
@@ -131,33 +146,34 @@
 	b := &bucket{rate: rate, burst: burst, refilledAt: l.elected, accounts: map[string]*account{}}
 	inherited := burst
 	if l.singlePredecessor {
-		inherited = b.maxOutstanding()
+		inherited = b.maxReserve()
 	}
-	b.outstanding = inherited
+	b.outstanding = burst
+	b.borrow(lentGrant{remaining: burst - inherited, expiresAt: l.elected.Add(expiryWait(maxBorrowTTL))})
 	predecessors := &account{grants: []lentGrant{{remaining: inherited, expiresAt: l.inheritedUntil}}}
 	b.accounts[earlierLeaders] = predecessors
 	b.expiries = []expiry{{at: l.inheritedUntil, account: predecessors}}
 	return b
 }
 
-// maxOutstanding returns the number of tokens that may be outstanding.
-func (b *bucket) maxOutstanding() float64 {
+// maxReserve returns the number of tokens that may be outstanding in reserves.
+func (b *bucket) maxReserve() float64 {
 	if b.burst < minSplitBurst {
 		return b.burst
 	}
-	return b.burst * maxOutstandingFraction
+	return b.burst * maxReserveFraction
 }
 
-// lendable returns the number of tokens that may be lent now. Grants of earlier leaders don't count
-// against this leader's limit of outstanding tokens.
-func (b *bucket) lendable() float64 {
-	own := b.outstanding
+// reservable returns the number of tokens that may be lent as reserves now. Reserves of earlier leaders don't count
+// against this leader's limit.
+func (b *bucket) reservable() float64 {
+	own := b.outstanding - b.borrowedSum
 	if predecessors := b.accounts[earlierLeaders]; predecessors != nil {
 		for _, grant := range predecessors.grants {
 			own -= grant.remaining
 		}
 	}
-	return min(b.level, b.maxOutstanding()-own)
+	return min(b.level, b.maxReserve()-own)
 }
 
 // Settle processes a balance report of a borrower on the grants that it has received.
@@ -195,10 +211,9 @@
 	return freed
 }
 
-// Lend takes up to want tokens from the team's bucket for a borrower. With renewal set, want is the
-// demand for one interval; otherwise it adds to the demand already recorded. The grant has no tokens
-// when the bucket is empty or the borrower has used up its share of the interval.
-func (l *Lender) Lend(now time.Time, borrowerID, team string, want uint64, renewal bool) wire.TokenGrant {
+// Lend lends a borrower a reserve of up to want tokens, its demand for one interval. The grant has no tokens when
+// the bucket is empty or the borrower has used up its share of the interval.
+func (l *Lender) Lend(now time.Time, borrowerID, team string, want uint64) wire.TokenGrant {
 	grant := wire.TokenGrant{Team: team, TTL: GrantTTL}
 	b := l.buckets[team]
 	if b == nil || want == 0 {
@@ -207,8 +222,8 @@
 	b.advance(now)
 	b.startInterval(now)
 	br := b.account(borrowerID)
-	b.recordDemand(br, now, float64(want), renewal)
-	n := math.Floor(min(float64(want), b.lendable(), b.share(br)))
+	b.recordDemand(br, now, float64(want))
+	n := math.Floor(min(float64(want), b.reservable(), b.share(br)))
 	if n < 1 {
 		grant.RetryAfter = l.retryDelay(now, b, float64(want))
 		return grant
@@ -220,12 +235,60 @@
 	return grant
 }
 
+// Borrow lends a borrower up to want tokens for statements that wait for the reply; they add to the demand already
+// recorded. The grant has no tokens when the bucket is empty or the borrower has used up its share of the interval.
+func (l *Lender) Borrow(now time.Time, borrowerID, team string, want uint64) wire.TokenGrant {
+	grant := wire.TokenGrant{Team: team}
+	b := l.buckets[team]
+	if b == nil || want == 0 {
+		return grant
+	}
+	grant.TTL = b.borrowTTL()
+	b.advance(now)
+	b.startInterval(now)
+	br := b.account(borrowerID)
+	b.recordDemand(br, now, max(br.demand, br.lent+float64(want)))
+	n := math.Floor(min(float64(want), b.level, b.share(br)))
+	if n < 1 {
+		grant.RetryAfter = l.retryDelay(now, b, float64(want))
+		return grant
+	}
+	l.lastID++
+	b.level -= n
+	b.outstanding += n
+	br.lent += n
+	b.borrow(lentGrant{id: l.lastID, remaining: n, expiresAt: now.Add(expiryWait(grant.TTL))})
+	grant.Tokens = uint64(n)
+	grant.ID = l.lastID
+	return grant
+}
+
+// borrowTTL returns how long tokens that are borrowed now may be spent.
+func (b *bucket) borrowTTL() time.Duration {
+	if b.rate*maxBorrowTTL.Seconds() <= borrowBurstFraction*b.burst {
+		return maxBorrowTTL
+	}
+	return max(minBorrowTTL, time.Duration(borrowBurstFraction*b.burst/b.rate*float64(time.Second)))
+}
+
+// expiryWait returns how long the leader counts a grant as outstanding: its TTL plus 10% for hosts with slow clocks.
+func expiryWait(ttl time.Duration) time.Duration { return ttl + ttl/10 }
+
+// borrow records borrowed tokens. They count until all that were borrowed before have expired.
+func (b *bucket) borrow(grant lentGrant) {
+	if n := len(b.borrowed); n > 0 && grant.expiresAt.Before(b.borrowed[n-1].expiresAt) {
+		grant.expiresAt = b.borrowed[n-1].expiresAt
+	}
+	b.borrowed = append(b.borrowed, grant)
+	b.borrowedSum += grant.remaining
+}
+
 // retryDelay returns how long a host should wait before it asks again. While grants of earlier leaders may
 // be outstanding, an empty bucket doesn't mean that the team is over its rate. Once these have expired, the
 // delay is 0.
 func (l *Lender) retryDelay(now time.Time, b *bucket, want float64) time.Duration {
 	untilInheritedExpire := max(0, l.inheritedUntil.Sub(now))
-	if b.rate == 0 || b.lendable()+1 > b.maxLevel() {
+	if b.rate == 0 || b.level+1 > b.maxLevel() {
 		return untilInheritedExpire
 	}
 	refillSeconds := min(want, b.maxLevel()) / b.rate
@@ -260,8 +323,8 @@
 		}
 		b.demand += br.demand
 	}
-	if len(b.accounts) == 0 {
-		b.outstanding = 0 // clears accumulated rounding errors
+	if len(b.accounts) == 0 && len(b.borrowed) == 0 {
+		b.outstanding, b.borrowedSum = 0, 0 // clears accumulated rounding errors
 	}
 }
 
@@ -274,15 +337,10 @@
 	return br
 }
 
-// recordDemand updates the demand of a borrower; see Lend for renewal.
-func (b *bucket) recordDemand(br *account, now time.Time, want float64, renewal bool) {
-	b.demand -= br.demand
-	if renewal || now.Sub(br.demandAt) > demandTTL {
-		br.demand = want
-	} else {
-		br.demand = max(br.demand, br.lent+want)
-	}
-	b.demand += br.demand
+// recordDemand sets the demand of a borrower in the current interval.
+func (b *bucket) recordDemand(br *account, now time.Time, demand float64) {
+	b.demand += demand - br.demand
+	br.demand = demand
 	br.demandAt = now
 }
 
@@ -301,13 +359,34 @@
 // advance refills the bucket up to now. It steps from expiry to expiry, since an expired grant raises
 // the maximum level only from its expiry on.
 func (b *bucket) advance(now time.Time) {
-	for len(b.expiries) > 0 && !b.expiries[0].at.After(now) {
-		next := b.expiries[0]
-		b.expiries = b.expiries[1:]
-		b.refill(next.at)
-		b.outstanding -= next.account.expire(next.at)
+	for {
+		switch at, borrowed := b.nextExpiry(); {
+		case at.IsZero() || at.After(now):
+			b.refill(now)
+			return
+		case borrowed:
+			b.refill(at)
+			b.outstanding -= b.borrowed[0].remaining
+			b.borrowedSum -= b.borrowed[0].remaining
+			b.borrowed = b.borrowed[1:]
+		default:
+			b.refill(at)
+			b.outstanding -= b.expiries[0].account.expire(at)
+			b.expiries = b.expiries[1:]
+		}
+	}
+}
+
+// nextExpiry returns the time at which the next tokens expire, and whether they are borrowed ones. The time is zero if
+// none are outstanding.
+func (b *bucket) nextExpiry() (at time.Time, borrowed bool) {
+	if len(b.expiries) > 0 {
+		at = b.expiries[0].at
+	}
+	if len(b.borrowed) > 0 && (at.IsZero() || b.borrowed[0].expiresAt.Before(at)) {
+		return b.borrowed[0].expiresAt, true
 	}
-	b.refill(now)
+	return at, false
 }
 
 // expire removes the grants that have expired by now and returns their tokens.
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -82,7 +83,13 @@
 	want := rapid.Uint64Range(1, 80).Draw(t, "want")
 	sent := m.localTime(host)
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "delay")) * time.Millisecond)
-	m.replies = append(m.replies, delayedMessage{host: host, sent: sent, grant: m.lender.Lend(m.now, host.name, "t", want, renewal)})
+	var grant wire.TokenGrant
+	if renewal {
+		grant = m.lender.Lend(m.now, host.name, "t", want)
+	} else {
+		grant = m.lender.Borrow(m.now, host.name, "t", want)
+	}
+	m.replies = append(m.replies, delayedMessage{host: host, sent: sent, grant: grant})
 }
 
 func (m *model) deliverReply(t *rapid.T) {
@@ -156,11 +163,11 @@
 	is := is.New(t)
 	lender := NewLender(start, 1, false)
 	lender.SetRate(start, "t", 100, 100)
-	grant := lender.Lend(start.Add(GrantTTL), "h", "t", 10, true)
+	grant := lender.Lend(start.Add(GrantTTL), "h", "t", 10)
 	is.Equal(grant.Tokens, uint64(0))
 	is.Equal(grant.RetryAfter, GrantExpiryWait-GrantTTL)
-	is.Equal(lender.Lend(start.Add(GrantExpiryWait), "h", "t", 10, true).Tokens, uint64(0)) // starts empty
-	is.Equal(lender.Lend(start.Add(GrantExpiryWait+time.Second), "h", "t", 10, true).Tokens, uint64(10))
+	is.Equal(lender.Lend(start.Add(GrantExpiryWait), "h", "t", 10).Tokens, uint64(0)) // starts empty
+	is.Equal(lender.Lend(start.Add(GrantExpiryWait+time.Second), "h", "t", 10).Tokens, uint64(10))
 }
 
 // Guards against a leader change that refuses all teams until the predecessor's grants have expired, and
@@ -171,10 +178,10 @@
 	lender.SetRate(start, "t", 100, 100)
 	lent := uint64(0)
 	for ms := time.Duration(0); ms < GrantExpiryWait; ms += 10 * time.Millisecond {
-		lent += lender.Lend(start.Add(ms), "h", "t", 5, false).Tokens
+		lent += lender.Lend(start.Add(ms), "h", "t", 5).Tokens
 	}
-	is.Equal(lent, uint64(100*(1-maxOutstandingFraction)))
-	is.True(lender.Lend(start.Add(GrantExpiryWait+time.Second), "h", "t", 50, true).Tokens >= 50)
+	is.Equal(lent, uint64(100*(1-maxReserveFraction)))
+	is.True(lender.Lend(start.Add(GrantExpiryWait+time.Second), "h", "t", 50).Tokens >= 50)
 }
 
 // Guards against tokens that are spent after they were settled, and against a refill that treats
@@ -183,19 +190,19 @@
 	is := is.New(t)
 	lender := NewLender(start.Add(-time.Minute), 1, true) // all earlier grants have expired
 	lender.SetRate(start, "t", 10, 10)
-	late := lender.Lend(start, "h", "t", 4, true)
-	grant := lender.Lend(start, "h", "t", 6, true)
-	is.Equal(late.Tokens+grant.Tokens, uint64(7)) // maxOutstandingFraction of the burst; 3 stay in the bucket
+	late := lender.Lend(start, "h", "t", 4)
+	grant := lender.Lend(start, "h", "t", 6)
+	is.Equal(late.Tokens+grant.Tokens, uint64(7)) // maxReserveFraction of the burst; 3 stay in the bucket
 	borrower := NewBorrower(0)
 	borrower.AddGrant(start, grant)
 	is.True(borrower.Spend(start, "t", 3))
 	now := start.Add(time.Second)
 	lender.Settle(now, "h", "t", borrower.Balance(now, "t"))
 	borrower.AddGrant(start, late)
-	is.True(!borrower.Spend(now, "t", 1))                            // late was discarded, as it was settled before it arrived
-	is.Equal(lender.Lend(now, "h", "t", 10, true).Tokens, uint64(3)) // the bucket was full until now
+	is.True(!borrower.Spend(now, "t", 1))                      // late was discarded, as it was settled before it arrived
+	is.Equal(lender.Lend(now, "h", "t", 10).Tokens, uint64(3)) // the bucket was full until now
 	now = now.Add(400 * time.Millisecond)
-	is.Equal(lender.Lend(now, "h", "t", 10, true).Tokens, uint64(4))
+	is.Equal(lender.Lend(now, "h", "t", 10).Tokens, uint64(4))
 }
 
 // simulate simulates hosts with the given demand in tokens/s for 20 s in steps of 10 ms and returns the
@@ -208,6 +215,7 @@
 	got := make([]float64, len(demand))
 	for i := range hosts {
 		hosts[i] = NewBorrower(0)
+		_, want[i] = math.Modf(float64(i) * 0.618) // hosts need their tokens at different times
 	}
 	for step := range 2000 {
 		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
@@ -218,14 +226,14 @@
 					lender.Settle(now, borrowerID, "t", balance)
 				}
 				if n := b.EndInterval(now)["t"]; n > 0 {
-					b.AddGrant(now, lender.Lend(now, borrowerID, "t", n, true))
+					b.AddGrant(now, lender.Lend(now, borrowerID, "t", n))
 				}
 			}
 			for want[i] += demand[i] / 100; want[i] >= 1; want[i]-- {
 				ok := b.Spend(now, "t", 1)
 				if !ok {
 					lender.Settle(now, borrowerID, "t", b.Balance(now, "t"))
-					b.AddGrant(now, lender.Lend(now, borrowerID, "t", b.BorrowAmount("t", 1), false))
+					b.AddGrant(now, lender.Borrow(now, borrowerID, "t", 1))
 					b.UndoDemand("t", 1)
 					ok = b.Spend(now, "t", 1)
 				}
@@ -238,6 +246,24 @@
 	return got
 }
 
+// Guards against refusals within the rate of a team whose callers are spread over so many hosts that each needs a token
+// now and then: tokens that hosts keep in reserve are missing at the others.
+func TestManyHostsShareSmallRate(t *testing.T) {
+	is := is.New(t)
+	for _, hosts := range []int{60, 83} {
+		demand := make([]float64, hosts)
+		for i := range demand {
+			demand[i] = 16 / float64(hosts)
+		}
+		total := 0.0
+		for _, got := range simulate(20, 20, demand) {
+			total += got
+		}
+		t.Log(hosts, "hosts got", total, "tokens/s")
+		is.True(total > 15.8)
+	}
+}
+
 // Guards against refusals within the rate, against capacity lost to unspent grants, and against a host
 // that gets more than its proportional share under overload.
 func TestHostsShareRateByDemand(t *testing.T) {
