holder: decide the freshness of reads where the replica is held

Callers of the busiest services were sent to the primary with reads that a replica could serve.

Cause: each entry host needed position samples of every service, which only replies of the primary's holder carried. At 60 hosts a host sends a service two statements a second; reads found no sample younger than 1.5 s and went to the primary, in the first second nearly all.

Change: a read carries the greatest age of its data (kind aged_read, which older daemons refuse as not run). The holder of the replica keeps samples of the service: it fetches them from the primary's holder while reads need them, four a second at most, whatever the number of entry hosts. The age of a sample counts from before its request was sent, so a slow link makes reads go to the primary, never stale.

Tests: what TestFreshness and TestReadYourWrites checked with samples of the gateway is now checked by the age that they send, and by TestPositionWithin and TestSampleAgeIncludesDelay at the holder; TestSamples reads the sample itself instead of a reply.

--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -90,6 +90,7 @@
 	targetHolder := holder.New(holder.Config{
 		Dialer:  d.options.Deployment.Dialer,
 		Leases:  d.agent,
+		Samples: &sampleClient{host: d.settings.Host, agent: d.agent, endpoint: d.endpoint, holder: func() *holder.Manager { return d.holder }},
 		Clock:   clock.BootTime{},
 		Logger:  d.logger,
 		Metrics: d.metrics,
@@ -103,6 +104,8 @@
 	})
 	d.agent.SetHealthSource(targetHolder.Health)
 	d.endpoint.Handle(wire.KindStatement, serveStatement(targetHolder))
+	d.endpoint.Handle(wire.KindAgedRead, serveStatement(targetHolder))
+	d.endpoint.Handle(wire.KindSample, serveSample(targetHolder))
 	d.holder = targetHolder
 	d.gateway = gateway.New(gateway.Config{
 		Place:     d.settings.Place,
--- a/internal/daemon/holderclient.go
+++ b/internal/daemon/holderclient.go
@@ -31,12 +31,16 @@
 		return reply, localBlock{block}, nil
 	}
 	req.Compress = route.Place != c.place // links between places are slow or billed by the byte
+	kind := wire.KindStatement
+	if req.MaxAge > 0 {
+		kind = wire.KindAgedRead
+	}
 	var reply wire.StatementReply
 	if !req.StartsBlock {
-		err := c.endpoint.Call(ctx, route.Addr, wire.KindStatement, req, &reply)
+		err := c.endpoint.Call(ctx, route.Addr, kind, req, &reply)
 		return reply, nil, err
 	}
-	stream, err := c.endpoint.Open(ctx, route.Addr, wire.KindStatement)
+	stream, err := c.endpoint.Open(ctx, route.Addr, kind)
 	if err != nil {
 		return reply, nil, err
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,7 +13,6 @@
 	retries  *metrics.Counter
 	reroutes *metrics.Counter
 	latency  *metrics.Histogram
-	readAge  *metrics.Histogram
 }
 
 func newGatewayMetrics(set *metrics.Set, sessions func() int) *gatewayMetrics {
@@ -27,7 +26,6 @@
 		retries:  set.NewCounter("citron_statement_retries_total"),
 		reroutes: set.NewCounter("citron_statement_reroutes_total"),
 		latency:  set.NewHistogram("citron_statement_seconds"),
-		readAge:  set.NewHistogram("citron_read_sample_age_seconds"),
 	}
 }
 
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -29,9 +29,8 @@
 type router struct {
 	cfg Config
 
-	mu               sync.Mutex
-	statsByTarget    map[string]*targetStats
-	samplesByService map[string]*primarySamples
+	mu            sync.Mutex
+	statsByTarget map[string]*targetStats
 }
 
 // targetStats is what this host knows about a target from earlier statements.
@@ -43,7 +42,7 @@
 }
 
 func newRouter(cfg Config) *router {
-	return &router{cfg: cfg, statsByTarget: map[string]*targetStats{}, samplesByService: map[string]*primarySamples{}}
+	return &router{cfg: cfg, statsByTarget: map[string]*targetStats{}}
 }
 
 // stats returns the stats of a target, which it creates if necessary. mu is held.
@@ -56,40 +55,21 @@
 	return stats
 }
 
-// samplesOf returns the samples of a service, which it creates if necessary. mu is held.
-func (r *router) samplesOf(service string) *primarySamples {
-	samples := r.samplesByService[service]
-	if samples == nil {
-		samples = &primarySamples{}
-		r.samplesByService[service] = samples
-	}
-	return samples
-}
-
 // requirement is what a target must fulfil to run a statement.
 type requirement struct {
 	service     string
 	primary     bool
 	minPosition position.Position // of the target's log; zero if primary is set
+	maxAge      time.Duration     // of the data; 0 if primary is set
 }
 
-// requirementOf returns the requirement of a statement that arrived at the given time, and the age of the data
-// that a replica may return. Reads go to the primary if no position sample is recent enough. A replica must
-// also have reached minPosition.
-func (r *router) requirementOf(route *catalog.Route, arrived time.Time, writes bool, minPosition position.Position) (req requirement, dataAge time.Duration) {
-	req = requirement{service: route.Service, primary: true}
+// requirementOf returns the requirement of a statement. A read that may return older data can run at a replica that has
+// reached minPosition.
+func requirementOf(route *catalog.Route, writes bool, minPosition position.Position) requirement {
 	if writes || route.Mode == wire.ReadCurrent || route.MaxAge <= 0 {
-		return req, 0
+		return requirement{service: route.Service, primary: true}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	oldest, ok := r.samplesOf(route.Service).oldestWithin(arrived, route.MaxAge)
-	if !ok {
-		return req, 0
-	}
-	req.primary = false
-	req.minPosition = oldest.pos.Max(minPosition)
-	return req, arrived.Sub(oldest.takenAt)
+	return requirement{service: route.Service, minPosition: minPosition, maxAge: route.MaxAge}
 }
 
 // choose returns the usable target with the least cost, except those in tried, and whether there is one.
@@ -138,9 +118,9 @@
 	r.stats(target).pending++
 }
 
-// recordReply records the end of a statement and the load and position reported with its reply. A nil reply
-// means that none was received; the target is then avoided for avoidDuration.
-func (r *router) recordReply(route wire.TargetRoute, sentAt time.Time, reply *wire.StatementReply) {
+// recordReply records the end of a statement and the load reported with its reply. A nil reply means that none was
+// received; the target is then avoided for avoidDuration.
+func (r *router) recordReply(route wire.TargetRoute, reply *wire.StatementReply) {
 	now := r.cfg.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -150,22 +130,18 @@
 		stats.avoidUntil = now.Add(avoidDuration)
 		return
 	}
-	r.recordReplyLocked(route, stats, now, sentAt, reply)
+	stats.recordLoad(now, reply)
 }
 
-// recordBlockReply records the load and position reported with a reply within a block.
-func (r *router) recordBlockReply(route wire.TargetRoute, sentAt time.Time, reply *wire.StatementReply) {
+// recordBlockReply records the load reported with a reply within a block.
+func (r *router) recordBlockReply(route wire.TargetRoute, reply *wire.StatementReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recordReplyLocked(route, r.stats(route.Target), r.cfg.Clock.Now(), sentAt, reply)
+	r.stats(route.Target).recordLoad(r.cfg.Clock.Now(), reply)
 }
 
-// recordReplyLocked records the load and position reported with a reply. mu is held.
-func (r *router) recordReplyLocked(route wire.TargetRoute, stats *targetStats, now, sentAt time.Time, reply *wire.StatementReply) {
-	stats.announcedWait, stats.announcedAt = reply.ExpectedQueueWait, now
-	if reply.Sample != nil {
-		r.samplesOf(route.Service).add(sentAt, reply.Sample)
-	}
+func (s *targetStats) recordLoad(now time.Time, reply *wire.StatementReply) {
+	s.announcedWait, s.announcedAt = reply.ExpectedQueueWait, now
 }
 
 // avoidForReads gives a target a high cost for avoidDuration, so that reads go to other ones.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -76,7 +76,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, b.route.Timeout+replyMargin)
 	defer cancel()
-	sentAt := s.gateway.cfg.Clock.Now()
 	reply, err := b.holderBlock.Next(ctx, msg)
 	if err != nil {
 		if st.Kind == statement.Commit {
@@ -84,7 +83,7 @@
 		}
 		return statement.Result{}, verdict.New(verdict.NotRun, verdict.CodeAborted, "the block was rolled back: %w", err)
 	}
-	s.gateway.router.recordBlockReply(b.targetRoute, sentAt, &reply)
+	s.gateway.router.recordBlockReply(b.targetRoute, &reply)
 	return reply.Result, replyError(&reply)
 }
 
@@ -134,7 +133,7 @@
 		req := run.requirement()
 		targetRoute, ok := g.router.choose(req, run.tried)
 		if !ok && !req.primary { // all replicas were tried; the primary has all data that they may lack
-			req.primary, req.minPosition = true, position.Position{}
+			req.primary, req.minPosition, req.maxAge = true, position.Position{}, 0
 			targetRoute, ok = g.router.choose(req, nil)
 		}
 		if !ok {
@@ -173,7 +172,7 @@
 	}
 }
 
-// requirement returns what the statement requires of its target, given the current position samples.
+// requirement returns what the statement requires of its target.
 func (run *statementRun) requirement() requirement {
 	kind := run.st.Kind
 	if run.blockBegin != nil {
@@ -184,11 +183,7 @@
 	if run.route.Mode == wire.ReadMaxAge {
 		minPosition = position.Position{}
 	}
-	req, dataAge := run.session.gateway.router.requirementOf(run.route, run.arrived, writes, minPosition)
-	if !req.primary {
-		run.session.gateway.metrics.readAge.Update(dataAge.Seconds())
-	}
-	return req
+	return requirementOf(run.route, writes, minPosition)
 }
 
 // retryable reports whether the statement may be sent again after an error: if nothing has run, or if it is a
@@ -213,7 +208,7 @@
 		return statement.Result{}, nil, verdict.New(verdict.NotRun, verdict.CodeTooBusy, "the timeout of %v has passed before the statement was sent", run.route.Timeout)
 	}
 	msg := wire.StatementRequest{
-		Target: targetRoute.Target, Team: run.team, Session: run.session.id, NeedsPrimary: req.primary, MinPosition: req.minPosition,
+		Target: targetRoute.Target, Team: run.team, Session: run.session.id, NeedsPrimary: req.primary, MinPosition: req.minPosition, MaxAge: req.maxAge,
 		SessionSettings: run.session.settings, Timeout: remaining, Priority: run.route.Priority, Statement: run.st,
 	}
 	if run.blockBegin != nil {
@@ -225,12 +220,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	sentAt := g.cfg.Clock.Now()
 	run.session.lastTeam, run.session.lastTarget = run.team, targetRoute.Target
 	g.router.recordSent(targetRoute.Target)
 	reply, openBlock, err := g.cfg.Holders.Start(ctx, targetRoute, msg)
 	if err != nil {
-		g.router.recordReply(targetRoute, sentAt, nil)
+		g.router.recordReply(targetRoute, nil)
 		if verdict.Of(err) == verdict.NotRun {
 			return statement.Result{}, nil, err
 		}
@@ -239,7 +233,7 @@
 		}
 		return statement.Result{}, nil, verdict.New(verdict.MayHaveRun, verdict.CodeOutcomeUnknown, "no reply from the holder of target %q: %w", targetRoute.Target, err)
 	}
-	g.router.recordReply(targetRoute, sentAt, &reply)
+	g.router.recordReply(targetRoute, &reply)
 	if err := replyError(&reply); err != nil {
 		if verdict.As(err).Code == verdict.CodeUnavailable {
 			g.router.avoidForReads(targetRoute.Target)
--- a/internal/holder/health.go
+++ b/internal/holder/health.go
@@ -68,16 +68,20 @@
 	t.sampleAt = sentAt
 }
 
-// addSampleAndQueueWait adds the newest position sample and the expected queue wait to a reply.
-func (t *target) addSampleAndQueueWait(reply *wire.StatementReply) {
+// addQueueWait adds the expected queue wait to a reply.
+func (t *target) addQueueWait(reply *wire.StatementReply) {
 	queued, slots := t.gate.Load(queueName)
 	reply.ExpectedQueueWait = time.Duration(queued) * t.gate.MeanSlotTime(queueName) / time.Duration(max(slots, 1))
+}
+
+// newestSample returns the newest position sample, and whether there is one.
+func (t *target) newestSample() (wire.Sample, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.sampleAt.IsZero() {
-		return
+		return wire.Sample{}, false
 	}
-	reply.Sample = &wire.Sample{Position: t.sample.Position, Age: t.manager.cfg.Clock.Now().Sub(t.sampleAt)}
+	return wire.Sample{Position: t.sample.Position, Age: t.manager.cfg.Clock.Now().Sub(t.sampleAt)}, true
 }
 
 // healthReport returns for how long the target has been silent, or a commit has been stalled.
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -69,6 +69,7 @@
 type Config struct {
 	Dialer  Dialer
 	Leases  Leases
+	Samples SampleSource
 	Clock   clock.Clock
 	Logger  log.Logger
 	Metrics *metrics.Set
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -19,6 +19,7 @@
 	cfg     Config
 	logger  log.Logger
 	metrics *holderMetrics
+	samples *sampleStore
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -27,7 +28,7 @@
 // New returns a Manager without targets. Run must be called for revocations, health reports and position
 // polls to take effect.
 func New(cfg Config) *Manager {
-	m := &Manager{cfg: cfg, logger: log.With(cfg.Logger, "part", "holder"), targets: map[string]*target{}}
+	m := &Manager{cfg: cfg, logger: log.With(cfg.Logger, "part", "holder"), targets: map[string]*target{}, samples: newSampleStore(cfg)}
 	m.metrics = newHolderMetrics(cfg.Metrics)
 	return m
 }
@@ -128,6 +129,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
+	if err := m.applyMaxAge(ctx, t, &req); err != nil {
+		return errorReply(err), nil
+	}
 	var reply wire.StatementReply
 	var block *Block
 	if req.StartsBlock {
@@ -135,10 +139,33 @@
 	} else {
 		reply = t.runSingle(ctx, req)
 	}
-	t.addSampleAndQueueWait(&reply)
+	t.addQueueWait(&reply)
 	return reply, block
 }
 
+// applyMaxAge raises the position that the target's log must have reached to that of a sample within the maximum age.
+func (m *Manager) applyMaxAge(ctx context.Context, t *target, req *wire.StatementRequest) error {
+	if req.NeedsPrimary || req.MaxAge <= 0 {
+		return nil
+	}
+	found, err := m.samples.positionWithin(ctx, t.service, req.MaxAge)
+	if err != nil {
+		return err
+	}
+	m.metrics.readAge.Update(m.cfg.Clock.Now().Sub(found.takenAt).Seconds())
+	req.MinPosition = found.pos.Max(req.MinPosition)
+	return nil
+}
+
+// Sample returns the newest position sample of a target that this host holds as the primary, and whether there is one.
+func (m *Manager) Sample(target string) (wire.Sample, bool) {
+	t := m.lookup(target)
+	if t == nil {
+		return wire.Sample{}, false
+	}
+	return t.newestSample()
+}
+
 // Serve executes the statements of one stream: a single statement or a block. Closing the stream must
 // unblock a pending Read.
 func (m *Manager) Serve(ctx context.Context, stream io.ReadWriter) {
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -16,8 +16,11 @@
 	ended        *metrics.Counter // leases that expired or were replaced before they could be returned
 	queueSeconds *metrics.Histogram
 	runSeconds   *metrics.Histogram
+	readAge      *metrics.Histogram // of the samples by which reads at replicas are checked
 }
 
+var samplesFailed = metrics.NewCounter(`citron_target_samples_failed_total`)
+
 func newHolderMetrics(set *metrics.Set) *holderMetrics {
 	if set == nil {
 		set = metrics.NewSet()
@@ -33,6 +36,7 @@
 		ended:        set.NewCounter("citron_target_leases_ended_total"),
 		queueSeconds: set.NewHistogram("citron_target_queue_seconds"),
 		runSeconds:   set.NewHistogram("citron_target_run_seconds"),
+		readAge:      set.NewHistogram("citron_read_sample_age_seconds"),
 	}
 }
 
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -222,7 +222,7 @@
 		return errorReply(errBlockAborted(err))
 	}
 	reply := b.runStatement(ctx, req.Statement)
-	b.target.addSampleAndQueueWait(&reply)
+	b.target.addQueueWait(&reply)
 	return reply
 }
 
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -33,6 +33,7 @@
 type target struct {
 	manager *Manager
 	name    string
+	service string
 	epoch   uint64
 	gate    *admission.Gate
 	conns   *connPool
@@ -58,7 +59,7 @@
 
 func newTarget(m *Manager, l Lease) *target {
 	t := &target{
-		manager: m, name: l.Target, epoch: l.Epoch,
+		manager: m, name: l.Target, service: l.Service, epoch: l.Epoch,
 		gate:           admission.NewGate(admission.Config{}, m.cfg.Clock),
 		blocks:         map[*Block]struct{}{},
 		primaryCancels: map[*context.CancelFunc]struct{}{},
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -69,6 +69,9 @@
 	Priority        int                 `cbor:"10,keyasint,omitempty"`
 	Statement       statement.Statement `cbor:"11,keyasint"`
 	Compress        bool                `cbor:"12,keyasint,omitempty"` // compress large messages of this stream, in both directions
+	// MaxAge, if set, is the greatest age of the data at the time when the caller sent the statement. The holder knows
+	// positions of the primary's log by age, and raises MinPosition accordingly. Only in streams of kind KindAgedRead.
+	MaxAge time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 func (r StatementRequest) worthCompressing() bool { return r.Compress }
@@ -91,13 +94,21 @@
 	Code              string           `cbor:"3,keyasint,omitempty"`
 	Message           string           `cbor:"4,keyasint,omitempty"`
 	ExpectedQueueWait time.Duration    `cbor:"5,keyasint,omitempty"` // expected queue wait of a new statement at the target
-	Sample            *Sample          `cbor:"6,keyasint,omitempty"` // latest position sample of the service known to the holder
-
-	Compress bool `cbor:"-"` // copied from the answered request; not sent
+	Compress          bool             `cbor:"-"`                    // copied from the answered request; not sent
 }
 
 func (r StatementReply) worthCompressing() bool { return r.Compress }
 
+// SampleQuery requests the newest position sample of a primary from its holder.
+type SampleQuery struct {
+	Target string `cbor:"1,keyasint"`
+}
+
+// SampleReply answers a SampleQuery. Sample is nil if the holder has none.
+type SampleReply struct {
+	Sample *Sample `cbor:"1,keyasint,omitempty"`
+}
+
 // Sample states that, at one point in time, every acknowledged commit of a service was at or before
 // Position.
 type Sample struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -40,13 +40,15 @@
 	KindStatement                  // StatementRequest, then BlockStatementRequest; each answered by StatementReply
 	KindRegister                   // Registration, answered by RegistrationReply
 	KindDeployment                 // DeploymentQuery, answered by DeploymentReply
+	KindAgedRead                   // like KindStatement, with StatementRequest.MaxAge set; older daemons refuse it
+	KindSample                     // SampleQuery, answered by SampleReply
 
 	KindCount // number of kinds, including the unused kind 0
 )
 
 // kindNames are the values of the label kind of metrics.
 var kindNames = [KindCount]string{"unknown", "renew", "borrow", "tx", "cancel", "raft", "change", "announce", "probe", "admin", "renew_now",
-	"statement", "register", "deployment"}
+	"statement", "register", "deployment", "aged_read", "sample"}
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string {
