agent: one borrow call at a time for each host, for all teams

Hosts sent a borrow call for each team, again after 20 ms while the new leader's buckets were empty, and through all control hosts while none led: 74 teams at 60 hosts. The new leader had no time for its heartbeats, stepped down after 1.5 s, and so did the six that followed.

Change: a host has one borrow call under way, which carries the requests of all teams; an older leader answers for the first of them. Calls are 10 ms apart, 50 ms while no leader answers. The load on the leader is bounded by the number of hosts.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,7 +75,7 @@
 	grants                 map[string]wire.LeaseGrant // by service: latest grant of each held lease
 	pendingReturns         map[string]uint64          // by service: returned epoch that no leader has acknowledged yet
 	borrower               *ratelimit.Borrower
-	pendingBorrows         map[string]*borrowCall   // by team: Borrow calls not sent yet, which further requests may join
+	borrows                borrowSender
 	lastBorrow             map[string]borrowOutcome // by team
 	draining               bool
 	routesVersion          uint64
@@ -110,7 +110,7 @@
 		grants:         map[string]wire.LeaseGrant{},
 		pendingReturns: map[string]uint64{},
 		borrower:       ratelimit.NewBorrower(c.TokenReserve),
-		pendingBorrows: map[string]*borrowCall{},
+		borrows:        borrowSender{pending: map[string]*borrowCall{}},
 		lastBorrow:     map[string]borrowOutcome{},
 		renewed:        make(chan struct{}),
 	}
--- /dev/null
+++ b/internal/agent/borrow.go
@@ -0,0 +1,163 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// borrowSender sends the Borrow calls of this host, one at a time, each for all teams that need tokens. The load on the
+// leader is thus bounded by the number of hosts: if the leader is slow, calls become larger, not more frequent.
+// Agent.mu guards it.
+type borrowSender struct {
+	running bool                   // a goroutine is sending calls
+	pending map[string]*borrowCall // by team: not sent yet, so that further statements may join
+	sentAt  time.Time              // of the latest call
+	failed  bool                   // the latest call found no leader
+}
+
+// joinBorrow adds n tokens to the team's pending request, or creates one.
+func (a *Agent) joinBorrow(team string, n uint64) *borrowCall {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	call := a.borrows.pending[team]
+	if call == nil {
+		call = &borrowCall{done: make(chan struct{})}
+		a.borrows.pending[team] = call
+	}
+	call.tokens += n
+	if !a.borrows.running {
+		a.borrows.running = true
+		go a.sendBorrows()
+	}
+	return call
+}
+
+// sendBorrows sends Borrow calls until no team needs tokens.
+func (a *Agent) sendBorrows() {
+	for {
+		delay, ok := a.borrowDelay()
+		if !ok {
+			return
+		}
+		sleep(context.Background(), delay)
+		if calls := a.takePendingBorrows(); len(calls) > 0 {
+			a.sendBorrow(calls)
+		}
+	}
+}
+
+// borrowDelay returns the time until the next Borrow call is due, or false if no team needs tokens; sendBorrows must
+// then return.
+func (a *Agent) borrowDelay() (delay time.Duration, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.borrows.pending) == 0 {
+		a.borrows.running = false
+		return 0, false
+	}
+	now := a.Clock.Now()
+	first := true
+	for team := range a.borrows.pending {
+		if d := a.borrowDueAt(team).Sub(now); first || d < delay {
+			delay, first = d, false
+		}
+	}
+	spacing := borrowSpacing
+	if a.borrows.failed {
+		spacing = failedBorrowSpacing
+	}
+	return max(delay, spacing-now.Sub(a.borrows.sentAt)), true
+}
+
+// borrowDueAt returns the earliest time at which tokens of a team may be requested. a.mu must be held.
+func (a *Agent) borrowDueAt(team string) time.Time {
+	if last := a.lastBorrow[team]; last.empty {
+		return last.at.Add(emptyBorrowSpacing)
+	}
+	return time.Time{}
+}
+
+// takePendingBorrows returns the requests that are due, by team.
+func (a *Agent) takePendingBorrows() map[string]*borrowCall {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	due := map[string]*borrowCall{}
+	for team, call := range a.borrows.pending {
+		if !a.borrowDueAt(team).After(now) {
+			due[team] = call
+			delete(a.borrows.pending, team)
+		}
+	}
+	a.borrows.sentAt = now
+	return due
+}
+
+// sendBorrow sends one Borrow call to the presumed leader, or to the next control host if it is unknown, and stores the
+// outcomes.
+func (a *Agent) sendBorrow(calls map[string]*borrowCall) {
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+	defer cancel()
+	addr := a.nextControlAddr()
+	req, teams := a.newBorrow(calls)
+	sent := a.Clock.Now()
+	var reply wire.TokenGrant
+	err := a.Transport.Call(ctx, addr, wire.KindBorrow, req, &reply)
+	switch {
+	case err != nil:
+		a.recordNoAnswer(addr)
+	case reply.NotLeader:
+		a.recordRedirect(addr, reply.LeaderAddr)
+		err = errNoLeader
+	}
+	grants := append([]wire.TokenGrant{reply}, reply.Others...)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.borrows.failed = err != nil
+	for i, team := range teams {
+		call := calls[team]
+		switch {
+		case err != nil:
+			borrowsFailed.Inc()
+			call.err = fmt.Errorf("borrow: %w", err)
+		case i >= len(grants):
+			call.err = fmt.Errorf("borrow: the leader has answered for %d of %d teams", len(grants), len(teams))
+		default:
+			a.recordGrant(sent, team, call, grants[i])
+		}
+		close(call.done)
+	}
+}
+
+// newBorrow builds a Borrow call and returns the order of its teams.
+func (a *Agent) newBorrow(calls map[string]*borrowCall) (req *wire.Borrow, teams []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	req = &wire.Borrow{Host: a.Host, BootID: a.bootID}
+	for team, call := range calls {
+		balance := a.borrower.Balance(now, team)
+		if len(teams) == 0 {
+			req.Team, req.Tokens, req.Balance = team, call.tokens, balance
+		} else {
+			req.Others = append(req.Others, wire.TeamBorrow{Team: team, Tokens: call.tokens, Balance: balance})
+		}
+		teams = append(teams, team)
+	}
+	return req, teams
+}
+
+// recordGrant stores the leader's answer to a team's request. a.mu must be held.
+func (a *Agent) recordGrant(sent time.Time, team string, call *borrowCall, grant wire.TokenGrant) {
+	if grant.Tokens == 0 {
+		borrowsEmpty.Inc()
+	} else {
+		borrowsGranted.Inc()
+	}
+	call.grant = grant
+	a.borrower.AddGrant(sent, grant)
+	a.lastBorrow[team] = borrowOutcome{at: a.Clock.Now(), empty: grant.Tokens == 0}
+}
--- a/internal/agent/tokens.go
+++ b/internal/agent/tokens.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/citronrun/citronrun/internal/catalog"
@@ -13,23 +12,26 @@
 )
 
 const (
-	borrowTimeout = 1 * time.Second
-	// borrowSpacing is the minimum time between two Borrow calls of a team; emptyBorrowSpacing applies after
-	// an empty grant. Without it a team far above its rate would cause one call to the leader for each
-	// refused statement.
+	// borrowSpacing is the minimum time between two Borrow calls; emptyBorrowSpacing is that between two requests
+	// for the same team after an empty grant. Without it a team far above its rate would cause one request to
+	// the leader for each refused statement.
 	borrowSpacing      = 10 * time.Millisecond
 	emptyBorrowSpacing = 100 * time.Millisecond
+	// failedBorrowSpacing applies while no leader answers: calls of all hosts would disturb the election.
+	failedBorrowSpacing = 50 * time.Millisecond
 	// emptyBorrowTTL is how long AcquireTokensFailFast relies on a reply that a team's bucket is empty.
 	// Tokens that become available in the meantime arrive with renewals.
 	emptyBorrowTTL = 100 * time.Millisecond
 	// While no leader answers, requests wait for tokens only until controlWaitLimit after the last
-	// successful renewal. It covers a leader election and the search for the new leader.
+	// successful renewal, but for leaderSearchTime at least. The former covers a leader election and the search
+	// for the new leader, the latter that search.
 	controlWaitLimit    = 5 * time.Second
+	leaderSearchTime    = 1 * time.Second
 	borrowRetryInterval = 20 * time.Millisecond
 	maxBorrowTries      = 4
 )
 
-// borrowCall is one Borrow call, shared by all requests of a team that wait for its reply.
+// borrowCall is the request for tokens of one team, shared by all statements that wait for them.
 type borrowCall struct {
 	done   chan struct{}
 	tokens uint64 // requested by all waiting requests together
@@ -78,6 +80,7 @@
 	// sawWaitingPeriod means that a reply came from a new leader in its waiting period. The leader's bucket
 	// starts empty, so an empty grant then doesn't mean that the rate is exceeded.
 	sawWaitingPeriod := false
+	started := a.Clock.Now()
 	for tries := 0; tries < maxBorrowTries; {
 		call := a.joinBorrow(team, n)
 		select {
@@ -86,7 +89,8 @@
 			return noTokens(context.Cause(ctx))
 		}
 		if call.err != nil {
-			if a.ConfirmedAge() > controlWaitLimit || !sleep(ctx, borrowRetryInterval) {
+			hopeless := a.ConfirmedAge() > controlWaitLimit && a.Clock.Now().Sub(started) > leaderSearchTime
+			if hopeless || !sleep(ctx, borrowRetryInterval) {
 				return noTokens(call.err)
 			}
 			continue
@@ -156,72 +160,3 @@
 	a.borrower.UndoDemand(team, n)
 	return a.borrower.Spend(a.Clock.Now(), team, n)
 }
-
-// joinBorrow adds a request for n tokens to the team's pending Borrow call, or starts one.
-func (a *Agent) joinBorrow(team string, n uint64) *borrowCall {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	call := a.pendingBorrows[team]
-	if call == nil {
-		call = &borrowCall{done: make(chan struct{})}
-		a.pendingBorrows[team] = call
-		go a.sendBorrow(team, call, a.borrowDelay(team))
-	}
-	call.tokens += n
-	return call
-}
-
-// borrowDelay returns the time that must pass before the team's next Borrow call. a.mu must be held.
-func (a *Agent) borrowDelay(team string) time.Duration {
-	last, ok := a.lastBorrow[team]
-	if !ok {
-		return 0
-	}
-	spacing := borrowSpacing
-	if last.empty {
-		spacing = emptyBorrowSpacing
-	}
-	return spacing - a.Clock.Now().Sub(last.at)
-}
-
-// sendBorrow sends a Borrow call after a delay, during which further requests may join it, and stores its
-// outcome.
-func (a *Agent) sendBorrow(team string, call *borrowCall, delay time.Duration) {
-	defer close(call.done)
-	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
-	defer cancel()
-	sleep(ctx, delay)
-	a.mu.Lock()
-	delete(a.pendingBorrows, team)
-	want := call.tokens
-	a.lastBorrow[team] = borrowOutcome{at: a.Clock.Now()}
-	a.mu.Unlock()
-	sent := time.Time{}
-	call.err = a.callLeader(ctx, func(ctx context.Context, addr string) (redirect, error) {
-		req := wire.Borrow{Host: a.Host, BootID: a.bootID, Team: team, Tokens: want, Balance: a.tokenBalance(team)}
-		sent = a.Clock.Now()
-		call.grant = wire.TokenGrant{}
-		err := a.Transport.Call(ctx, addr, wire.KindBorrow, req, &call.grant)
-		return redirect{call.grant.NotLeader, call.grant.LeaderAddr}, err
-	})
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if call.err != nil {
-		borrowsFailed.Inc()
-		call.err = fmt.Errorf("borrow: %w", call.err)
-		return
-	}
-	if call.grant.Tokens == 0 {
-		borrowsEmpty.Inc()
-	} else {
-		borrowsGranted.Inc()
-	}
-	a.borrower.AddGrant(sent, call.grant)
-	a.lastBorrow[team] = borrowOutcome{at: a.Clock.Now(), empty: call.grant.Tokens == 0}
-}
-
-func (a *Agent) tokenBalance(team string) wire.TokenBalance {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.borrower.Balance(a.Clock.Now(), team)
-}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -172,10 +172,17 @@
 	}
 	s.updateRateLimits(leader, now)
 	borrower := borrowerID(req.Host, req.BootID)
-	leader.lender.Settle(now, borrower, req.Team, req.Balance)
-	grant := leader.lender.Borrow(now, borrower, req.Team, req.Tokens)
-	countTokenGrant(grant)
-	return &grant, nil
+	borrow := func(team string, tokens uint64, balance wire.TokenBalance) wire.TokenGrant {
+		leader.lender.Settle(now, borrower, team, balance)
+		grant := leader.lender.Borrow(now, borrower, team, tokens)
+		countTokenGrant(grant)
+		return grant
+	}
+	reply := borrow(req.Team, req.Tokens, req.Balance)
+	for _, other := range req.Others {
+		reply.Others = append(reply.Others, borrow(other.Team, other.Tokens, other.Balance))
+	}
+	return &reply, nil
 }
 
 // RateTolerance is how far a deployment lets a team exceed its rate and burst in a window. Tokens are
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -238,6 +238,15 @@
 	Tokens uint64 `cbor:"4,keyasint"`
 
 	Balance TokenBalance `cbor:"5,keyasint"` // zero: no token grant received yet
+
+	Others []TeamBorrow `cbor:"6,keyasint,omitempty"` // of further teams; an older leader ignores them
+}
+
+// TeamBorrow is the part of a Borrow that concerns one team.
+type TeamBorrow struct {
+	Team    string       `cbor:"1,keyasint"`
+	Tokens  uint64       `cbor:"2,keyasint"`
+	Balance TokenBalance `cbor:"3,keyasint"`
 }
 
 // TokenGrant is a loan of rate tokens to a host. Tokens is 0 if none are available.
@@ -250,6 +259,8 @@
 
 	NotLeader  bool   `cbor:"6,keyasint,omitempty"` // ask LeaderAddr; nothing else is set
 	LeaderAddr string `cbor:"7,keyasint,omitempty"`
+
+	Others []TokenGrant `cbor:"8,keyasint,omitempty"` // for Borrow.Others, in their order
 }
 
 // Announce is the periodic announcement of a target.
