gateway: refuse operations while the deployment is unconfirmed

Callers got 404 for a route that had been added, and 401 or service by an old configuration, seconds after the new one was acknowledged.

Cause: a cached value without a bound on its age. The PostgreSQL side checks the age of the last confirmation by the control leader before each transaction; the gateway didn't.

Otherwise the answer is that the service is unavailable and nothing has run. A block that began before goes on.

Also looked at: reading a configuration back goes through the leader; rate tokens, target leases and the keys in the deployment end or are judged here; the drain of a target is judged by the leader, 55% of its bound ahead.

Test: TestUnconfirmedDeployment, which on the former code serves the read.

--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -44,6 +44,9 @@
 	// DrainTime is how long a target may still get new statements after it has reported that it is leaving.
 	// If zero or negative, control.DefaultDrainTime applies.
 	DrainTime time.Duration
+	// MaxConfigAge is how long after its last confirmation by the control leader a host judges operations by its
+	// deployment. It must be below the time within which a new deployment has to be in force.
+	MaxConfigAge time.Duration
 	// RateTolerance is the amount of tokens that may be lent beyond the teams' rates and bursts.
 	RateTolerance control.RateTolerance
 }
@@ -108,12 +111,13 @@
 	d.endpoint.Handle(wire.KindSample, serveSample(targetHolder))
 	d.holder = targetHolder
 	d.gateway = gateway.New(gateway.Config{
-		Place:     d.settings.Place,
-		Directory: gatewayDirectory{d.agent},
-		Holders:   &holderClient{host: d.settings.Host, place: d.settings.Place, endpoint: d.endpoint, holder: targetHolder},
-		Clock:     clock.BootTime{},
-		Logger:    d.logger,
-		Metrics:   d.metrics,
+		Place:           d.settings.Place,
+		MaxConfirmedAge: d.options.Deployment.MaxConfigAge,
+		Directory:       gatewayDirectory{d.agent},
+		Holders:         &holderClient{host: d.settings.Host, place: d.settings.Place, endpoint: d.endpoint, holder: targetHolder},
+		Clock:           clock.BootTime{},
+		Logger:          d.logger,
+		Metrics:         d.metrics,
 	})
 	d.server = d.options.Deployment.NewCallerServer(d.gateway, d.logger)
 	var err error
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,8 @@
 type Directory interface {
 	// Catalog returns the newest known catalog, or nil if there is none yet.
 	Catalog() *catalog.Snapshot
+	// ConfirmedAge returns how long ago the control leader has confirmed that Catalog is the newest one.
+	ConfirmedAge() time.Duration
 	// AcquireTokensFailFast acquires rate tokens of a team. If this host has too few, it borrows from the
 	// control leader, which may take until ctx is done. If the leader has recently reported that the team
 	// has none, it refuses without a call.
@@ -49,12 +51,15 @@
 // Config holds the settings and dependencies of a Gateway. Clock must keep running while the host is
 // suspended.
 type Config struct {
-	Place     string // of this host
-	Directory Directory
-	Holders   HolderClient
-	Clock     clock.Clock
-	Logger    log.Logger
-	Metrics   *metrics.Set
+	Place string // of this host
+	// MaxConfirmedAge is the greatest age of the last confirmation with which operations are judged by the
+	// deployment. Beyond it they are refused as unavailable, because a newer deployment may be in force.
+	MaxConfirmedAge time.Duration
+	Directory       Directory
+	Holders         HolderClient
+	Clock           clock.Clock
+	Logger          log.Logger
+	Metrics         *metrics.Set
 }
 
 const (
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 // fakeHost is the Directory and the HolderClient of a gateway.
 type fakeHost struct {
 	catalogSnapshot *catalog.Snapshot
+	confirmedAge    time.Duration
 	rateTokens      int
 	targets         []wire.TargetRoute
 	sent            []sentRequest
@@ -47,6 +48,8 @@
 
 func (h *fakeHost) Catalog() *catalog.Snapshot { return h.catalogSnapshot }
 
+func (h *fakeHost) ConfirmedAge() time.Duration { return h.confirmedAge }
+
 func (h *fakeHost) AcquireTokensFailFast(context.Context, string, int) error {
 	if h.rateTokens == 0 {
 		return verdict.New(verdict.NotRun, verdict.CodeRateExceeded, "rate exceeded")
@@ -89,7 +92,7 @@
 	h.block.respond = func(wire.BlockStatementRequest) (wire.StatementReply, error) { return okReply, nil }
 	h.deploy(t, nil)
 	fakeClock := clock.NewFake(time.Unix(1000, 0))
-	g := New(Config{Place: "x", Directory: h, Holders: h, Clock: fakeClock, Logger: log.NewNopLogger()})
+	g := New(Config{Place: "x", MaxConfirmedAge: time.Second, Directory: h, Holders: h, Clock: fakeClock, Logger: log.NewNopLogger()})
 	return g, h, fakeClock
 }
 
@@ -350,6 +353,41 @@
 	is.NoErr(err)
 }
 
+// Guards against operations that are judged by a deployment that may have been replaced: a host that does not hear from
+// control must neither serve them, nor say that a database does not exist or a key was withdrawn.
+func TestUnconfirmedDeployment(t *testing.T) {
+	is := is.New(t)
+	g, h, _ := newTestGateway(t)
+	s := mustOpen(t, g, "own")
+	_, err := s.Do(context.Background(), statement.Statement{ID: "1", Kind: statement.Begin})
+	is.NoErr(err)
+	h.confirmedAge = time.Second + 1
+	_, err = s.Do(context.Background(), writeStatement()) // of a block that began before
+	is.NoErr(err)
+	_, err = s.Do(context.Background(), statement.Statement{ID: "1", Kind: statement.Commit})
+	is.NoErr(err)
+	sent := len(h.sent)
+	unavailable := func(err error) {
+		t.Helper()
+		is.Equal(verdict.As(err).Code, verdict.CodeUnavailable)
+		is.Equal(verdict.Of(err), verdict.NotRun)
+	}
+	for _, st := range []statement.Statement{readStatement(), writeStatement(), {ID: "1", Kind: statement.Begin}} {
+		_, err = s.Do(context.Background(), st)
+		unavailable(err)
+	}
+	is.Equal(len(h.sent), sent)
+	_, err = g.Open("own", "key")
+	unavailable(err)
+	_, err = g.Open("missing", "key")
+	unavailable(err)
+	_, err = g.Open("own", "withdrawn")
+	unavailable(err)
+	h.confirmedAge = time.Second
+	_, err = s.Do(context.Background(), readStatement())
+	is.NoErr(err)
+}
+
 // Guards against new statements at a target that is leaving.
 func TestLeavingTargets(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -80,6 +80,9 @@
 // admit checks the session against the current deployment, and returns the route and the team of its next
 // operation.
 func (s *Session) admit() (*catalog.Route, string, error) {
+	if age := s.gateway.cfg.Directory.ConfirmedAge(); age > s.gateway.cfg.MaxConfirmedAge {
+		return nil, "", verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the control leader has not confirmed the deployment within %v", s.gateway.cfg.MaxConfirmedAge)
+	}
 	index := s.gateway.index()
 	route, ok := index.Route(s.database)
 	if !ok {
