control: a new leader announces itself to connected hosts

Callers were refused for 1.5 to 2 s after each change of the control leader, because no host had rate tokens.

Cause: a host waited for the answer of the lost leader, 300 ms an attempt, every 500 ms. A request for tokens of a team whose bucket at the new leader was still empty waited 100 ms instead of the time that the leader had named, and statements were refused as beyond the rate meanwhile.

Change: a leader that has taken over sends renew-now with its address to all hosts that are connected to it; older hosts ignore the address. The leader's delay applies before the next request, and during it statements wait.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -119,7 +119,7 @@
 	a.targetRoutes.Store(newTargetTable(nil))
 	a.targetLeases.Store(&map[string]TargetLease{})
 	c.Transport.Handle(wire.KindProbe, a.serveProbe)
-	c.Transport.Handle(wire.KindRenewNow, func(context.Context, string, transport.Stream) { a.RenewNow() })
+	c.Transport.Handle(wire.KindRenewNow, a.serveRenewNow)
 	return a
 }
 
@@ -228,6 +228,17 @@
 	}
 }
 
+// serveRenewNow renews at once, with the leader that the message names, if any. Whether it leads shows in its reply.
+func (a *Agent) serveRenewNow(_ context.Context, _ string, s transport.Stream) {
+	var msg wire.RenewNow
+	if err := wire.Read(s, &msg, wire.MaxMessageBytes); err == nil && msg.LeaderAddr != "" {
+		a.mu.Lock()
+		a.leaderAddr = msg.LeaderAddr
+		a.mu.Unlock()
+	}
+	a.RenewNow()
+}
+
 func (a *Agent) serveProbe(ctx context.Context, _ string, s transport.Stream) {
 	var p wire.Probe
 	if err := wire.Read(s, &p, wire.MaxMessageBytes); err != nil {
--- a/internal/agent/borrow.go
+++ b/internal/agent/borrow.go
@@ -74,10 +74,15 @@
 
 // borrowDueAt returns the earliest time at which tokens of a team may be requested. a.mu must be held.
 func (a *Agent) borrowDueAt(team string) time.Time {
-	if last := a.lastBorrow[team]; last.empty {
+	last := a.lastBorrow[team]
+	switch {
+	case last.retryAfter > 0:
+		return last.at.Add(last.retryAfter)
+	case last.empty:
 		return last.at.Add(emptyBorrowSpacing)
+	default:
+		return time.Time{}
 	}
-	return time.Time{}
 }
 
 // takePendingBorrows returns the requests that are due, by team.
@@ -159,5 +164,5 @@
 	}
 	call.grant = grant
 	a.borrower.AddGrant(sent, grant)
-	a.lastBorrow[team] = borrowOutcome{at: a.Clock.Now(), empty: grant.Tokens == 0}
+	a.lastBorrow[team] = borrowOutcome{at: a.Clock.Now(), empty: grant.Tokens == 0, retryAfter: grant.RetryAfter}
 }
--- a/internal/agent/tokens.go
+++ b/internal/agent/tokens.go
@@ -41,8 +41,9 @@
 
 // borrowOutcome records how a team's last Borrow call ended.
 type borrowOutcome struct {
-	at    time.Time
-	empty bool
+	at         time.Time
+	empty      bool
+	retryAfter time.Duration // of a new leader in its waiting period; otherwise 0
 }
 
 // AcquireTokens spends a team's rate tokens. If the host holds too few, it borrows more from the leader
@@ -131,7 +132,7 @@
 	}
 	a.mu.Lock()
 	last, ok := a.lastBorrow[team]
-	empty := ok && last.empty && a.Clock.Now().Sub(last.at) < emptyBorrowTTL
+	empty := ok && last.empty && last.retryAfter == 0 && a.Clock.Now().Sub(last.at) < emptyBorrowTTL
 	if empty {
 		a.borrower.Spend(a.Clock.Now(), team, uint64(max(tokens, 0))) // fails, but counts as demand
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -145,6 +145,8 @@
 type unreachableTransport struct{}
 
 func (unreachableTransport) Handle(wire.Kind, func(context.Context, string, transport.Stream)) {}
+func (unreachableTransport) Peers() []string                                                   { return nil }
+
 func (unreachableTransport) Call(context.Context, string, wire.Kind, any, any) error {
 	return errOutcomeUnknown
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -55,6 +55,8 @@
 type Transport interface {
 	Handle(kind wire.Kind, h func(ctx context.Context, peer string, s transport.Stream))
 	Call(ctx context.Context, addr string, kind wire.Kind, req, resp any) error
+	// Peers returns the addresses of the hosts with an open connection.
+	Peers() []string
 }
 
 // Config holds the dependencies and settings of a Server. Name, Machine, Log, Transport, Clock and
@@ -246,6 +248,22 @@
 	leader.ready = true
 	leader.readyAt = s.Clock.Now()
 	leader.targetLeases = placement.NewTable(leader.electedAt, leader.term, s.Machine.TargetHolders())
+	s.announceLeadership()
+}
+
+// announceLeadership tells all connected hosts that this member leads, so that they renew at once instead of
+// waiting for the previous leader to answer.
+func (s *Server) announceLeadership() {
+	msg := wire.RenewNow{LeaderAddr: s.Log.LeaderAddr()}
+	for _, addr := range s.Transport.Peers() {
+		s.runInBackground(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, renewNowTimeout)
+			defer cancel()
+			if err := s.Transport.Call(ctx, addr, wire.KindRenewNow, msg, nil); err != nil {
+				_ = level.Debug(s.Logger).Log("msg", "leadership not announced", "addr", addr, "err", err)
+			}
+		})
+	}
 }
 
 // propose commits a command other than a catalog change. It returns an error if the command was
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -172,8 +172,11 @@
 	SilentFor time.Duration     `cbor:"6,keyasint" json:"Silent"` // time since the last response to a status request, or since polling started; the state dump keeps the name Silent
 }
 
-// RenewNow asks a host to renew immediately, because its leases or routes have changed.
-type RenewNow struct{}
+// RenewNow asks a host to renew immediately, because its leases or routes have changed, or because a new leader has
+// taken over.
+type RenewNow struct {
+	LeaderAddr string `cbor:"1,keyasint,omitempty"` // QUIC address of the new leader; empty: unchanged
+}
 
 // RenewReply answers a Renew. The leader sends it only if it is certain that no newer leader had been elected
 // when the Renew arrived.
