--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -100,11 +100,12 @@
 func (c *testConfig) Encode() ([]byte, error)  { return wire.Marshal(c) }
 
 func newTestConfig() *testConfig {
+	teams := map[string]catalog.Team{"t": {}}
+	for i := range testTeams {
+		teams[fmt.Sprint("team", i)] = catalog.Team{}
+	}
 	return &testConfig{
-		C: catalog.Catalog{
-			Services: map[string]catalog.Service{},
-			Teams:    map[string]catalog.Team{"t": {}},
-		},
+		C:       catalog.Catalog{Services: map[string]catalog.Service{}, Teams: teams},
 		Results: map[string]catalog.Result{},
 	}
 }
--- a/internal/agent/borrow.go
+++ b/internal/agent/borrow.go
@@ -108,6 +108,7 @@
 	defer cancel()
 	addr := a.nextControlAddr()
 	req, teams := a.newBorrow(calls)
+	borrowCalls.Inc()
 	sent := a.Clock.Now()
 	var reply wire.TokenGrant
 	err := a.Transport.Call(ctx, addr, wire.KindBorrow, req, &reply)
