ratelimit: name the time until the next token after a change of leader

Callers were refused for 2.2 s after each change of the control leader.

Cause: while the bucket of a new leader had no room, the delay that it named was the time until all inherited tokens have expired. A host that keeps to it doesn't ask for tokens meanwhile, though they are there after 0.3 s.

Change: the delay lasts until the next expiry that makes room, and then until enough tokens have accrued.

--- a/internal/ratelimit/lender.go
+++ b/internal/ratelimit/lender.go
@@ -290,11 +290,19 @@
 // delay is 0.
 func (l *Lender) retryDelay(now time.Time, b *bucket, want float64) time.Duration {
 	untilInheritedExpire := max(0, l.inheritedUntil.Sub(now))
-	if b.rate == 0 || b.level+1 > b.maxLevel() {
-		return untilInheritedExpire
+	delay := minRetryDelay
+	switch room := b.maxLevel(); {
+	case room < 1: // nothing flows into the bucket before some tokens have expired
+		if at, _ := b.nextExpiry(); !at.IsZero() {
+			delay = max(delay, at.Sub(now))
+		}
+	case b.rate == 0:
+		delay = untilInheritedExpire
+	default:
+		missing := max(0, min(want, room)-b.level)
+		delay = max(delay, time.Duration(missing/b.rate*float64(time.Second)))
 	}
-	refillSeconds := min(want, b.maxLevel()) / b.rate
-	return min(untilInheritedExpire, max(minRetryDelay, time.Duration(refillSeconds*float64(time.Second))))
+	return min(untilInheritedExpire, delay)
 }
 
 // lend records a grant to a borrower and deducts its tokens.
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -184,6 +184,22 @@
 	is.True(lender.Lend(start.Add(GrantExpiryWait+time.Second), "h", "t", 50).Tokens >= 50)
 }
 
+// Guards against a new leader that sends hosts away for longer than its bucket takes to refill: until the tokens that its
+// predecessor has lent last have expired, and then until the next token has accrued.
+func TestNewLeaderNamesShortDelay(t *testing.T) {
+	is := is.New(t)
+	lender := NewLender(start, 2, true)
+	lender.SetRate(start, "t", 20, 20)
+	grant := lender.Borrow(start, "h", "t", 1)
+	is.Equal(grant.Tokens, uint64(0))
+	is.Equal(grant.RetryAfter, expiryWait(maxBorrowTTL))
+	now := start.Add(grant.RetryAfter)
+	grant = lender.Borrow(now, "h", "t", 1)
+	is.Equal(grant.Tokens, uint64(0)) // refills begin now
+	is.Equal(grant.RetryAfter, 50*time.Millisecond)
+	is.Equal(lender.Borrow(now.Add(grant.RetryAfter), "h", "t", 1).Tokens, uint64(1))
+}
+
 // Guards against tokens that are spent after they were settled, and against a refill that treats
 // settled tokens as free before the time of the settlement.
 func TestSettlement(t *testing.T) {
