transport: smaller handshakes, and resets from self-signed hosts

Cause: connections of every entry host with every other cost 21 MB before the traffic starts, two thirds of all bytes of the first 10 s; the hybrid post-quantum key share alone takes 1.1 KB in each direction. Separately, hosts with self-signed certificates had no key for stateless resets, since their certificate comes from a function.

TestRestartedPeerResetsConnections covers both kinds.

Conclusion: a recorded exchange can be decrypted by whoever breaks X25519 later; its content is worthless by then.

--- a/internal/transport/keep_test.go
+++ b/internal/transport/keep_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"github.com/citronrun/citronrun/internal/pki"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -45,31 +48,47 @@
 }
 
 // Guards against a peer that has restarted without closing its connections: the first request on the old connection
-// must not wait until the peer counts as silent.
+// must not wait until the peer counts as silent. Self-signed hosts have a new certificate after each start.
 func TestRestartedPeerResetsConnections(t *testing.T) {
-	is := is.New(t)
 	ca := testAuthority(t)
-	a := testEndpoint(t, ca, "a")
-	conf, err := ca.HostConfig("b")
-	is.NoErr(err)
-	b, err := Listen("127.0.0.1:0", conf, a.logger)
-	is.NoErr(err)
-	b.Handle(wire.KindProbe, handleEcho)
-	serve(b)
-	addr := b.Addr()
-	is.NoErr(a.Call(t.Context(), addr, wire.KindProbe, wire.Probe{}, &wire.ProbeReply{}))
-	is.NoErr(b.socket.Close()) // the process ends without closing its connections
-	_ = b.Close()
+	signed, err := ca.HostConfig("b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, config := range map[string]func(host string) (*tls.Config, error){
+		"signed": func(host string) (*tls.Config, error) {
+			if host == "b" {
+				return signed, nil
+			}
+			return ca.HostConfig(host)
+		},
+		"self-signed": func(host string) (*tls.Config, error) { return pki.SelfSignedConfig(host) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			start := func(host, addr string) *Endpoint {
+				conf, err := config(host)
+				is.NoErr(err)
+				e, err := Listen(addr, conf, log.NewNopLogger())
+				is.NoErr(err)
+				t.Cleanup(func() { _ = e.Close() })
+				e.Handle(wire.KindProbe, handleEcho)
+				serve(e)
+				return e
+			}
+			a, b := start("a", "127.0.0.1:0"), start("b", "127.0.0.1:0")
+			addr := b.Addr()
+			is.NoErr(a.Call(t.Context(), addr, wire.KindProbe, wire.Probe{}, &wire.ProbeReply{}))
+			is.NoErr(b.socket.Close()) // the process ends without closing its connections
+			_ = b.Close()
 
-	restarted, err := Listen(addr, conf, a.logger)
-	is.NoErr(err)
-	defer restarted.Close()
-	restarted.Handle(wire.KindProbe, handleEcho)
-	serve(restarted)
-	start := time.Now()
-	for a.Call(t.Context(), addr, wire.KindProbe, wire.Probe{}, &wire.ProbeReply{}) != nil {
-		if time.Since(start) > silenceLimit/2 {
-			t.Fatal("the restarted peer has not reset the connection of its earlier process")
-		}
+			start("b", addr)
+			restarted := time.Now()
+			for a.Call(t.Context(), addr, wire.KindProbe, wire.Probe{}, &wire.ProbeReply{}) != nil {
+				if time.Since(restarted) > silenceLimit/2 {
+					t.Fatal("the restarted peer has not reset the connection of its earlier process")
+				}
+			}
+		})
 	}
 }
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -11,6 +11,10 @@
 	"github.com/quic-go/quic-go"
 )
 
+// keyExchanges excludes hybrid post-quantum key exchanges: their shares of 1.1 KB in each direction take a handshake
+// from one padded packet to two, and every host makes a handshake with every other.
+var keyExchanges = []tls.CurveID{tls.X25519, tls.CurveP256}
+
 // tlsConfigs derives the TLS configurations for accepting and for dialing connections.
 func tlsConfigs(conf *tls.Config) (server, client *tls.Config, err error) {
 	if conf != nil && conf.InsecureSkipVerify {
@@ -20,6 +24,8 @@
 	if conf == nil || conf.RootCAs == nil {
 		return nil, nil, errors.New("TLS configuration has no root certificates")
 	}
+	conf = conf.Clone()
+	conf.CurvePreferences = keyExchanges
 	server = conf.Clone()
 	server.NextProtos = []string{Protocol}
 	server.MinVersion = tls.VersionTLS13
@@ -47,6 +53,8 @@
 // unverifiedConfigs returns configurations that encrypt but accept any peer whose certificate has a common
 // name. They are for installations without a shared secret that could authenticate peers.
 func unverifiedConfigs(conf *tls.Config) (server, client *tls.Config) {
+	conf = conf.Clone()
+	conf.CurvePreferences = keyExchanges
 	server = conf.Clone()
 	server.NextProtos = []string{Protocol}
 	server.MinVersion = tls.VersionTLS13
@@ -82,21 +90,43 @@
 // unverified certificates, which are new at each start, it is derived from the name in the certificate: peers that
 // can't be authenticated have no protection against resets either.
 func resetKey(conf *tls.Config) *quic.StatelessResetKey {
-	if len(conf.Certificates) == 0 || len(conf.Certificates[0].Certificate) == 0 {
+	cert := ownCertificate(conf)
+	if cert == nil || len(cert.Certificate) == 0 {
 		return nil
 	}
-	seed := []byte(nil)
-	if cert, err := x509.ParseCertificate(conf.Certificates[0].Certificate[0]); err == nil && conf.InsecureSkipVerify {
-		seed = []byte(cert.Subject.CommonName)
-	} else if der, err := x509.MarshalPKCS8PrivateKey(conf.Certificates[0].PrivateKey); err == nil {
-		seed = der
+	var seed []byte
+	if conf.InsecureSkipVerify {
+		leaf, err := x509.ParseCertificate(cert.Certificate[0])
+		if err != nil {
+			return nil
+		}
+		seed = []byte(leaf.Subject.CommonName)
 	} else {
-		return nil
+		der, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+		if err != nil {
+			return nil
+		}
+		seed = der
 	}
 	key := quic.StatelessResetKey(sha256.Sum256(append([]byte("citronrun stateless reset "), seed...)))
 	return &key
 }
 
+// ownCertificate returns the certificate of this host, or nil.
+func ownCertificate(conf *tls.Config) *tls.Certificate {
+	if len(conf.Certificates) > 0 {
+		return &conf.Certificates[0]
+	}
+	if conf.GetCertificate == nil {
+		return nil
+	}
+	cert, err := conf.GetCertificate(&tls.ClientHelloInfo{})
+	if err != nil {
+		return nil
+	}
+	return cert
+}
+
 // peerName returns the host name of the peer, the common name of its certificate.
 func peerName(state tls.ConnectionState) (string, error) {
 	if len(state.PeerCertificates) == 0 {
