ratelimit: report reserves only; wire: compress deployments

Cause: each borrowed token made the next renewal carry a balance of its team, which the leader doesn't need for loans that end by time; and a configuration that is read back through another control host travels uncompressed.

Change: balances concern reserves; DeploymentReply is compressed.

--- a/internal/ratelimit/borrower.go
+++ b/internal/ratelimit/borrower.go
@@ -26,8 +26,8 @@
 // teamState is the state of one team at the host.
 type teamState struct {
 	grants     []heldGrant
-	receivedID uint64  // highest grant id received
-	reportedID uint64  // highest grant id reported to a leader
+	receivedID uint64  // highest id of a reserve received
+	reportedID uint64  // highest id of a reserve reported to a leader
 	dirty      bool    // changed since the last report
 	demand     float64 // tokens that statements needed since the last renewal, whether spent or refused
 	estimate   float64 // estimated demand in tokens per interval
@@ -36,6 +36,7 @@
 type heldGrant struct {
 	tokens    uint64
 	expiresAt time.Time
+	reserve   bool // the leader expects reports; it settles borrowed tokens by time alone
 }
 
 // NewBorrower returns a Borrower without grants. A renewal asks for the estimated demand of reserve
@@ -57,19 +58,24 @@
 }
 
 // AddGrant records a grant that the leader sent in reply to a renewal or a borrow call, which was sent at the
-// given time. It discards a grant whose id is not above the last reported one, because the leader has counted
-// every grant up to that id as received, and its missing tokens as spent.
+// given time. It discards a reserve whose id is not above the last reported one, because the leader has counted
+// every reserve up to that id as received, and its missing tokens as spent.
 func (b *Borrower) AddGrant(sent time.Time, grant wire.TokenGrant) {
 	if grant.Tokens == 0 {
 		return
 	}
 	state := b.teamState(grant.Team)
+	held := heldGrant{tokens: grant.Tokens, expiresAt: sent.Add(min(grant.TTL, GrantTTL)), reserve: grant.TTL >= GrantTTL}
+	if !held.reserve {
+		state.grants = append(state.grants, held)
+		return
+	}
 	if grant.ID <= state.reportedID {
 		return
 	}
 	state.receivedID = max(state.receivedID, grant.ID)
 	state.dirty = true
-	state.grants = append(state.grants, heldGrant{tokens: grant.Tokens, expiresAt: sent.Add(min(grant.TTL, GrantTTL))})
+	state.grants = append(state.grants, held)
 }
 
 // CanSpend reports whether unexpired grants hold n tokens. It doesn't count as demand.
@@ -85,9 +91,9 @@
 	if state.remaining(now) < n {
 		return false
 	}
-	state.dirty = true
 	for n > 0 {
 		spent := min(n, state.grants[0].tokens)
+		state.dirty = state.dirty || state.grants[0].reserve
 		state.grants[0].tokens -= spent
 		n -= spent
 		if state.grants[0].tokens == 0 {
@@ -118,6 +124,17 @@
 	return total
 }
 
+// remainingReserve returns the number of tokens in unexpired reserves.
+func (state *teamState) remainingReserve(now time.Time) uint64 {
+	total := uint64(0)
+	for _, grant := range state.grants {
+		if grant.reserve && now.Before(grant.expiresAt) {
+			total += grant.tokens
+		}
+	}
+	return total
+}
+
 // EndInterval ends the interval and updates the demand estimates. It returns the tokens to ask for in the
 // renewal that starts the next interval, by team, without teams that need none or too little for a reserve.
 func (b *Borrower) EndInterval(now time.Time) map[string]uint64 {
@@ -136,8 +153,8 @@
 	return amounts
 }
 
-// Balances returns a balance report to the leader for every team whose grants have changed since its last
-// report: the highest grant id received and the tokens remaining. It marks that id as reported: from then on
+// Balances returns a balance report to the leader for every team whose reserves have changed since its last
+// report: the highest id of a reserve received and the tokens remaining. It marks that id as reported: from then on
 // AddGrant discards grants up to it.
 func (b *Borrower) Balances(now time.Time) map[string]wire.TokenBalance {
 	balances := map[string]wire.TokenBalance{}
@@ -155,5 +172,5 @@
 	state := b.teamState(team)
 	state.reportedID = state.receivedID
 	state.dirty = false
-	return wire.TokenBalance{GrantID: state.receivedID, Remaining: state.remaining(now)}
+	return wire.TokenBalance{GrantID: state.receivedID, Remaining: state.remainingReserve(now)}
 }
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -149,3 +149,5 @@
 	NotLeader  bool   `cbor:"3,keyasint,omitempty"`
 	LeaderAddr string `cbor:"4,keyasint,omitempty"`
 }
+
+func (DeploymentReply) worthCompressing() bool { return true }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -140,11 +140,11 @@
 	HostsVersion   uint64         `cbor:"20,keyasint,omitempty"` // version of the addresses of entry hosts known to the host
 }
 
-// TokenBalance reports a host's unspent tokens of a team. From all token grants with ids up to GrantID
-// the host will spend no more than Remaining tokens, even if one of them arrives later.
+// TokenBalance reports a host's unspent reserves of a team, the token grants that last for seconds. From all reserves with
+// ids up to GrantID the host will spend no more than Remaining tokens, even if one of them arrives later.
 type TokenBalance struct {
-	GrantID   uint64 `cbor:"1,keyasint"` // highest id of a token grant received
-	Remaining uint64 `cbor:"2,keyasint"` // unspent tokens of all token grants up to GrantID
+	GrantID   uint64 `cbor:"1,keyasint"` // highest id of a reserve received
+	Remaining uint64 `cbor:"2,keyasint"` // unspent tokens of all reserves up to GrantID
 }
 
 // HeldLease identifies the lease of a service that a host holds or returns.
