--- a/internal/entry/protocol_test.go
+++ b/internal/entry/protocol_test.go
@@ -89,6 +89,10 @@
 		execErr <- err
 	}()
 	<-fx.cluster.waitStarted
+	// The owner has begun the transaction before the entry host has its answer, with which the transaction counts.
+	for deadline := time.Now().Add(5 * time.Second); fx.srv.State().(State).Transactions == 0; time.Sleep(time.Millisecond) {
+		fx.True(time.Now().Before(deadline))
+	}
 	stopped := make(chan error, 1)
 	go func() { stopped <- fx.srv.Shutdown(background) }()
 	m, err := idle.Receive()
