holder, gateway: ask a replica again that is a moment behind, avoid one that stays behind

Cause: a read whose replica had not reached the required position went from host to host, to both replicas and to the primary.

Change: the holder sends such a statement again after 20, 40 and 80 ms; the gateway avoids the replica for 300 ms after that.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -235,7 +235,8 @@
 	}
 	g.router.recordReply(targetRoute, &reply)
 	if err := replyError(&reply); err != nil {
-		if verdict.As(err).Code == verdict.CodeUnavailable {
+		switch verdict.As(err).Code {
+		case verdict.CodeUnavailable, verdict.CodeReplicaBehind: // its holder has already waited for a replica that is a moment behind
 			g.router.avoidForReads(targetRoute.Target)
 		}
 		return reply.Result, nil, err
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -75,6 +75,10 @@
 	Metrics *metrics.Set
 }
 
+// replicaRetryDelays are the delays before a statement is sent again to a replica that has not reached the position that
+// the statement requires. A replica is usually tens of milliseconds behind; another host would have to ask the primary.
+var replicaRetryDelays = []time.Duration{20 * time.Millisecond, 40 * time.Millisecond, 80 * time.Millisecond}
+
 const (
 	tickInterval = 100 * time.Millisecond
 	// sampleInterval is the age of a primary's newest position sample at which the primary is polled.
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -132,17 +132,38 @@
 	if err := m.applyMaxAge(ctx, t, &req); err != nil {
 		return errorReply(err), nil
 	}
-	var reply wire.StatementReply
-	var block *Block
-	if req.StartsBlock {
-		reply, block = t.startBlock(ctx, req)
-	} else {
-		reply = t.runSingle(ctx, req)
+	reply, block := t.start(ctx, req)
+	for _, delay := range replicaRetryDelays {
+		if reply.Code != verdict.CodeReplicaBehind || !sleep(ctx, delay) {
+			break
+		}
+		m.metrics.replicaRetries.Inc()
+		reply, block = t.start(ctx, req)
 	}
 	t.addQueueWait(&reply)
 	return reply, block
 }
 
+// start runs a single statement, or the first statement of a block.
+func (t *target) start(ctx context.Context, req wire.StatementRequest) (wire.StatementReply, *Block) {
+	if req.StartsBlock {
+		return t.startBlock(ctx, req)
+	}
+	return t.runSingle(ctx, req), nil
+}
+
+// sleep sleeps for d and returns true, or returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // applyMaxAge raises the position that the target's log must have reached to that of a sample within the maximum age.
 func (m *Manager) applyMaxAge(ctx context.Context, t *target, req *wire.StatementRequest) error {
 	if req.NeedsPrimary || req.MaxAge <= 0 {
--- a/internal/holder/samples_test.go
+++ b/internal/holder/samples_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/position"
+	"github.com/citronrun/citronrun/internal/statement"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -92,6 +93,29 @@
 	is.True(!ok) // but 2 s before now
 }
 
+// Guards against reads that go to the primary because a replica is a moment behind: at a busy service they would
+// overload it, and with it the host that knows the positions.
+func TestReplicaBehindIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	tries, behind := 0, 2
+	f.target.onRun = func(statement.Statement) error {
+		if tries++; tries <= behind {
+			return verdict.New(verdict.NotRun, verdict.CodeReplicaBehind, "behind")
+		}
+		return nil
+	}
+	req := newRequest("t", statement.Read, "x", nil)
+	req.NeedsPrimary = false
+	reply, _ := f.Start(context.Background(), req)
+	is.Equal(reply.Code, "")
+	is.Equal(tries, 3)
+	tries, behind = 0, 100
+	reply, _ = f.Start(context.Background(), req)
+	is.Equal(reply.Code, verdict.CodeReplicaBehind) // another target has to run it
+	is.Equal(tries, 1+len(replicaRetryDelays))
+}
+
 func eventuallyTrue(t *testing.T, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); !condition(); time.Sleep(time.Millisecond) {
