transport: wait for both ends in TestConnectionsAreMadeInAdvance

Cause: the test looked at the accepted connections of one end as soon as the other end had the connection, which is before the first has accepted it.

--- a/internal/transport/keep_test.go
+++ b/internal/transport/keep_test.go
@@ -25,6 +25,7 @@
 	defer cancel()
 	go a.KeepConnected(ctx, func() []string { return []string{b.Addr()} })
 	awaitConnections(t, a, 1)
+	awaitConnections(t, b, 1)
 	is.Equal(b.Stats().Accepted, uint64(1))
 
 	conf, err := ca.HostConfig("b")
