--- a/internal/agent/tokens.go
+++ b/internal/agent/tokens.go
@@ -39,7 +39,7 @@
 	err    error
 }
 
-// borrowOutcome records how a team's last Borrow call ended.
+// borrowOutcome records the answer to a team's last request for tokens.
 type borrowOutcome struct {
 	at         time.Time
 	empty      bool
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -1,7 +1,8 @@
 // Package transport connects daemons over QUIC with mutual TLS, with one stream per request.
 //
 // An Endpoint uses one UDP socket for listening and dialing. It caches one connection per address and
-// redials after a connection is lost. Each stream starts with a wire.Header.
+// redials after a connection is lost. A peer counts as lost when it leaves data or a probe unanswered; connections
+// without open streams are kept at almost no cost. Each stream starts with a wire.Header.
 package transport
 
 import (
@@ -9,8 +10,10 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -138,6 +141,17 @@
 // Addr returns the bound address, IP:PORT.
 func (e *Endpoint) Addr() string { return e.socket.LocalAddr().String() }
 
+// Peers returns the addresses of the hosts with an open connection.
+func (e *Endpoint) Peers() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	peers := map[string]struct{}{}
+	for conn := range e.openConns {
+		peers[conn.RemoteAddr().String()] = struct{}{}
+	}
+	return slices.Collect(maps.Keys(peers))
+}
+
 // track registers a new connection until untrack.
 func (e *Endpoint) track(conn *quic.Conn) {
 	e.mu.Lock()
--- a/internal/transport/stats.go
+++ b/internal/transport/stats.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -64,17 +62,6 @@
 	return total
 }
 
-// Peers returns the addresses of the hosts with an open connection.
-func (e *Endpoint) Peers() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	peers := map[string]struct{}{}
-	for conn := range e.openConns {
-		peers[conn.RemoteAddr().String()] = struct{}{}
-	}
-	return slices.Collect(maps.Keys(peers))
-}
-
 // StreamBytes counts the bytes that the users of streams of one kind have written and read, without retransmissions
 // and the overhead of the protocol.
 type StreamBytes struct{ Written, Read uint64 }
