agent: lock the agent in TestAnnouncedLeaderIsUsed

Cause: testAgent has a mutex of its own, which hides that of the Agent; the test changed leaderAddr under the wrong one.

Change: the test locks Agent.mu. The checks are the same. 8 of 8 with -race.

--- a/internal/agent/borrow_test.go
+++ b/internal/agent/borrow_test.go
@@ -90,9 +90,9 @@
 	c := newCluster(t, 1)
 	a := c.agents[0]
 	eventually(t, "the leader is known", func() bool { return a.ConfirmedAge() < time.Second })
-	a.mu.Lock()
+	a.Agent.mu.Lock()
 	a.leaderAddr = "127.0.0.1:1" // nobody answers there
-	a.mu.Unlock()
+	a.Agent.mu.Unlock()
 	announced := time.Now()
 	is.NoErr(listen(t, c.ca, "c2").Call(t.Context(), a.Addr, wire.KindRenewNow, wire.RenewNow{LeaderAddr: c.log.addr}, nil))
 	eventually(t, "the host has renewed", func() bool {
@@ -100,7 +100,7 @@
 		return last != nil && last.After(announced)
 	})
 	is.True(time.Since(announced) < attemptTimeout) // without waiting for the lost leader
-	a.mu.Lock()
+	a.Agent.mu.Lock()
 	is.Equal(a.leaderAddr, c.log.addr)
-	a.mu.Unlock()
+	a.Agent.mu.Unlock()
 }
