--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -7,13 +7,9 @@
 	"github.com/citronrun/citronrun/internal/consensus"
 )
 
-const (
-	// leaderLostTicks is the time without a known leader after which a member asks to be added again, in
-	// case it was removed while it was unreachable: 3 s.
-	leaderLostTicks = 3000 / consensus.TickMillis
-	// silenceLimitTicks is how long a member must be silent before the leader may remove it: 8 s.
-	silenceLimitTicks = 8000 / consensus.TickMillis
-)
+// leaderLostTicks is the time without a known leader after which a member asks to be added again, in
+// case it was removed while it was unreachable: 3 s.
+const leaderLostTicks = 3000 / consensus.TickMillis
 
 // SetInitialAddrs replaces the addresses in Config.Initial.
 func (r *Replica) SetInitialAddrs(addrs []string) {
@@ -91,29 +87,3 @@
 		r.redirectedTo = e.Leader
 	}
 }
-
-// removeSilentMember removes a member that has been silent for silenceLimitTicks, if all other members are
-// answering voters and there are at least MinVoters of them. A removed host that returns asks to be added
-// again.
-func (r *Replica) removeSilentMember() {
-	if r.cfg.MinVoters == 0 || r.node.Status().Role != consensus.Leader {
-		return
-	}
-	members := r.node.Status().Members
-	var silent *Member
-	answering := 0
-	for i, m := range members {
-		switch {
-		case r.node.TicksSinceContact(m.ID) >= silenceLimitTicks:
-			silent = &members[i]
-		case !m.Learner && r.node.TicksSinceContact(m.ID) < discoveryTicks:
-			answering++
-		}
-	}
-	if silent == nil || answering < r.cfg.MinVoters || answering < len(members)-1 {
-		return
-	}
-	if _, _, err := r.node.RemoveMember(silent.ID); err == nil {
-		_ = r.cfg.Logger.Log("msg", "silent member removed", "addr", silent.Addr)
-	}
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -128,6 +128,8 @@
 
 	redirectedTo       string // address of the leader according to the latest redirect; empty: none
 	ticksWithoutLeader int    // ticks without a known leader
+
+	lastKept keptMember // latest log entry of logKeptMember
 }
 
 // Open loads the member's data directory and starts the member. In an empty directory it creates a
@@ -259,11 +261,27 @@
 		}
 	}
 	r.status.Store(s)
+	if old != nil && !slices.Equal(old.Members, s.Members) {
+		r.logMembers(s.Members)
+	}
 	if old == nil || old.Role != s.Role || old.Term != s.Term || old.Leader != s.Leader {
 		r.signalLeadershipChange(s)
 	}
 }
 
+// logMembers logs the members of the group.
+func (r *Replica) logMembers(members []Member) {
+	var voters, learners []string
+	for _, m := range members {
+		if m.Learner {
+			learners = append(learners, m.Addr)
+		} else {
+			voters = append(voters, m.Addr)
+		}
+	}
+	_ = r.cfg.Logger.Log("msg", "members changed", "voters", fmt.Sprint(voters), "learners", fmt.Sprint(learners))
+}
+
 // signalLeadershipChange logs a change of leadership and closes the channel that LeadershipChanged has
 // returned.
 func (r *Replica) signalLeadershipChange(s *Status) {
