replica: remove silent members although several are silent

Callers saw: three control hosts were replaced one after the other without effect. Then one host lost its disk, and from that moment no request was served and no configuration was accepted or read (CONFIG). Cause: removeSilentMember removed a member only if all others were answering. With two silent members at a time neither was ever removed, nor any later one, while each successor was added as a further voter: eight voters, of which three were gone, need five votes, and five hosts ran. Change: each member that has been silent for long enough is removed on its own, the one that has been silent for longest first, as long as MinVoters voters answer. RemoveMember still refuses what would leave the reachable voters without a quorum, and one change has to be committed before the next. Why it is safe: changes are still made one at a time, so that quorums of successive memberships overlap; MinVoters answering voters bear the losses that the deployment names by themselves.

--- a/internal/replica/silence.go
+++ b/internal/replica/silence.go
@@ -1,38 +1,50 @@
 package replica
 
-import "github.com/citronrun/citronrun/internal/consensus"
+import (
+	"time"
+
+	"github.com/citronrun/citronrun/internal/consensus"
+)
 
 // silenceLimitTicks is how long a member must be silent before the leader may remove it: 8 s.
 const silenceLimitTicks = 8000 / consensus.TickMillis
 
-// removeSilentMember removes a member that has been silent for silenceLimitTicks, if all other members are
-// answering voters and there are at least MinVoters of them. A removed host that returns asks to be added
-// again.
+// removeSilentMember removes the member that has been silent for longest, if that is at least silenceLimitTicks
+// and MinVoters voters are answering. Each lost member that stays increases the quorum by up to one vote that
+// nobody can give. The limit holds for each member on its own: several may be lost before the first is removed. A
+// removed host that returns asks to be added again.
 func (r *Replica) removeSilentMember() {
-	if r.cfg.MinVoters == 0 || r.node.Status().Role != consensus.Leader {
+	status := r.node.Status()
+	if r.cfg.MinVoters == 0 || status.Role != consensus.Leader {
 		return
 	}
-	members := r.node.Status().Members
-	var silent *Member
-	answering := 0
-	for i, m := range members {
-		switch {
-		case r.node.TicksSinceContact(m.ID) >= silenceLimitTicks:
-			silent = &members[i]
-		case !m.Learner && r.node.TicksSinceContact(m.ID) < discoveryTicks:
-			answering++
-		}
-	}
-	if silent == nil {
+	silent, answering := r.contact(status.Members)
+	silentFor := r.node.TicksSinceContact(silent.ID)
+	if silentFor < silenceLimitTicks {
 		return
 	}
-	if answering < r.cfg.MinVoters || answering < len(members)-1 {
-		r.logKeptMember(silent.Addr, len(members), answering)
+	if answering < r.cfg.MinVoters {
+		r.logKeptMember(silent.Addr, len(status.Members), answering)
 		return
 	}
 	if _, _, err := r.node.RemoveMember(silent.ID); err == nil {
-		_ = r.cfg.Logger.Log("msg", "silent member removed", "addr", silent.Addr)
+		_ = r.cfg.Logger.Log("msg", "silent member removed", "addr", silent.Addr, "silent", time.Duration(silentFor)*tickInterval,
+			"members", len(status.Members), "answering_voters", answering)
+	}
+}
+
+// contact returns the member that has been silent for longest, and the number of voters that answer this leader,
+// itself included.
+func (r *Replica) contact(members []Member) (silent Member, answering int) {
+	for _, m := range members {
+		if r.node.TicksSinceContact(m.ID) > r.node.TicksSinceContact(silent.ID) {
+			silent = m
+		}
+		if !m.Learner && r.node.TicksSinceContact(m.ID) < discoveryTicks {
+			answering++
+		}
 	}
+	return silent, answering
 }
 
 // logKeptMember logs that a silent member is not removed, once for each address and number of answering voters.
