--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -40,6 +40,7 @@
 	}
 	if o := d.options.Deployment; o != nil {
 		conf.MinVoters = o.MinVoters
+		conf.CatchUpTime = o.CatchUpTime
 	}
 	d.replica, err = replica.Open(conf, machine, sender)
 	if err != nil {
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -41,6 +41,9 @@
 	NewCallerServer func(g *gateway.Gateway, logger log.Logger) CallerServer
 	// MinVoters is the least number of voting control hosts with which changes are accepted.
 	MinVoters int
+	// CatchUpTime is the time after the start of a control host that replaces a lost one within which the control
+	// group must again bear the loss of (MinVoters-1)/2 hosts. If zero, there is no such limit.
+	CatchUpTime time.Duration
 	// DrainTime is how long a target may still get new statements after it has reported that it is leaving.
 	// If zero or negative, control.DefaultDrainTime applies.
 	DrainTime time.Duration
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -70,7 +70,10 @@
 	Join bool
 	// MinVoters is the minimum number of answering voters that must remain when a silent member is
 	// removed; 0: silent members are never removed.
-	MinVoters       int
+	MinVoters int
+	// CatchUpTime is the time after the start of a host that replaces a lost one within which the group must again
+	// bear the loss of (MinVoters-1)/2 of its hosts; 0: no such limit.
+	CatchUpTime     time.Duration
 	SnapshotEntries uint64           // 0: DefaultSnapshotEntries
 	TailEntries     uint64           // 0: DefaultTailEntries
 	Seed            uint64           // of randomized election timeouts; 0: random
