promotion: decide there what an inspection leads to

Cause: what follows from an inspection was decided half in package promotion (Choose) and half in the control server, next to its calls; only the first half could be tested without a server. Change: Inspection.Decide holds both; the server collects the reports.

--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -171,10 +171,10 @@
 		}
 		commitsStalled := group.health[record.Primary].CommitStall >= commitStallLimit
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
-			choice, stillPrimary := s.inspect(ctx, service, record, leaving, commitsStalled)
+			d := s.inspect(ctx, service, record, leaving, commitsStalled)
 			return func() {
-				group.choice = choice
-				group.promotion.RecordInspection(choice.Target, stillPrimary)
+				group.choice = d.Order
+				group.promotion.RecordInspection(d)
 			}
 		})
 	case promotion.Resume:
@@ -231,11 +231,13 @@
 	})
 }
 
-// inspect pauses the replicas, queries the state of the primary, and chooses the candidate for promotion. If
-// no promotion is needed, choice is empty and stillPrimary is true. If one is needed but no target
-// qualifies, both results are zero.
-func (s *Server) inspect(ctx context.Context, service string, record Group, leaving map[string]bool, commitsStalled bool) (choice promotion.Pending, stillPrimary bool) {
-	reports := make([]promotion.Report, 0, len(record.Members))
+// inspect pauses the replicas, queries the state of the primary, and decides what follows.
+func (s *Server) inspect(ctx context.Context, service string, record Group, leaving map[string]bool, commitsStalled bool) promotion.Decision {
+	inspection := promotion.Inspection{
+		Primary: record.Primary, Pending: promotion.Pending{Target: record.Candidate, Received: record.CandidateReceived},
+		SyncReplicas: s.syncReplicas(service), CommitsStalled: commitsStalled,
+		Reports: make([]promotion.Report, 0, len(record.Members)),
+	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	inspectTarget := func(target string, timeout time.Duration, query func(context.Context, TargetRef) (TargetState, error)) {
@@ -251,7 +253,7 @@
 				"primary", targetState.Primary, "term", targetState.Term, "received", targetState.Received, "leaving", r.Leaving, "err", err)
 			mu.Lock()
 			defer mu.Unlock()
-			reports = append(reports, r)
+			inspection.Reports = append(inspection.Reports, r)
 		})
 	}
 	for target := range record.Members {
@@ -263,39 +265,10 @@
 		inspectTarget(record.Primary, inspectPrimaryTimeout, s.TargetControl.State)
 	}
 	wg.Wait()
-	choice, stillPrimary = s.chooseCandidate(service, record, reports, leaving, commitsStalled)
+	d := inspection.Decide()
 	_ = level.Info(s.Logger).Log("msg", "promotion considered", "service", service, "primary", record.Primary,
-		"candidate", record.Candidate, "choice", choice.Target, "still_primary", stillPrimary)
-	return choice, stillPrimary
-}
-
-// chooseCandidate decides from the reports of an inspection whether a promotion is needed, and of which
-// target. Its results are those of inspect.
-func (s *Server) chooseCandidate(service string, record Group, reports []promotion.Report, leaving map[string]bool, commitsStalled bool) (choice promotion.Pending, stillPrimary bool) {
-	primaryAnswers := false
-	received := map[string]position.Position{}
-	for _, r := range reports {
-		if r.Target == record.Candidate && r.Primary {
-			// The pending order was carried out: repeat it to obtain a definite outcome.
-			return promotion.Pending{Target: r.Target, Received: r.Received}, false
-		}
-		received[r.Target] = r.Received
-		primaryAnswers = primaryAnswers || r.Target == record.Primary && r.Primary
-	}
-	if primaryAnswers && record.Candidate == "" && !leaving[record.Primary] && !commitsStalled {
-		return promotion.Pending{}, true
-	}
-	pending := promotion.Pending{Target: record.Candidate, Received: record.CandidateReceived}
-	if target, ok := promotion.Choose(reports, record.Primary, s.syncReplicas(service), pending); ok {
-		return promotion.Pending{Target: target, Received: received[target]}, false
-	}
-	if !primaryAnswers || leaving[record.Primary] {
-		return promotion.Pending{}, false
-	}
-	if record.Candidate != "" {
-		return promotion.Pending{Target: record.Primary}, false // an order for the current primary fences off the pending one
-	}
-	return promotion.Pending{}, true
+		"candidate", record.Candidate, "choice", d.Order.Target, "still_primary", d.StillPrimary)
+	return d
 }
 
 func (s *Server) syncReplicas(service string) int {
--- /dev/null
+++ b/internal/promotion/decide.go
@@ -0,0 +1,54 @@
+package promotion
+
+// Inspection is what the control leader has found out about a service whose primary may have to be replaced.
+type Inspection struct {
+	Primary        string // the recorded primary
+	Pending        Pending
+	SyncReplicas   int
+	CommitsStalled bool     // commits wait for replicas that don't answer
+	Reports        []Report // of all targets of the service
+}
+
+// Decision is what an inspection leads to. At most one of the fields is set; none means that too few targets have answered.
+type Decision struct {
+	StillPrimary bool    // the recorded primary stays the primary
+	Order        Pending // the target to order a promotion of, and its log position
+}
+
+// Decide returns whether a promotion is needed, and of which target.
+func (in *Inspection) Decide() Decision {
+	if r := in.report(in.Pending.Target); r != nil && r.Primary {
+		return Decision{Order: r.asPending()} // the order was carried out: it is repeated to obtain a definite outcome
+	}
+	primary := in.report(in.Primary)
+	if primary != nil && !primary.Primary {
+		primary = nil
+	}
+	mayStay := primary != nil && !primary.Leaving
+	if mayStay && in.Pending.Target == "" && !in.CommitsStalled {
+		return Decision{StillPrimary: true}
+	}
+	if target, ok := Choose(in.Reports, in.Primary, in.SyncReplicas, in.Pending); ok {
+		return Decision{Order: in.report(target).asPending()}
+	}
+	switch {
+	case !mayStay:
+		return Decision{}
+	case in.Pending.Target != "":
+		return Decision{Order: Pending{Target: in.Primary}} // an order for the current primary fences off the pending one
+	default:
+		return Decision{StillPrimary: true}
+	}
+}
+
+// report returns the report of a target that has answered, or nil.
+func (in *Inspection) report(target string) *Report {
+	for i := range in.Reports {
+		if r := &in.Reports[i]; r.Target == target && r.Answered {
+			return r
+		}
+	}
+	return nil
+}
+
+func (r *Report) asPending() Pending { return Pending{Target: r.Target, Received: r.Received} }
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -103,15 +103,14 @@
 // RecordProbe passes the result of Probe to the machine: whether the leader reached the primary.
 func (m *Machine) RecordProbe(ok bool) { m.setResult(ok, "probe_answered", "probe_failed") }
 
-// RecordInspection passes the result of Inspect to the machine: the target to promote, or "" if none can be
-// chosen. With stillPrimary set, the recorded primary can stay primary, and chosen is ignored.
-func (m *Machine) RecordInspection(chosen string, stillPrimary bool) {
-	if stillPrimary {
+// RecordInspection passes the result of Inspect to the machine.
+func (m *Machine) RecordInspection(d Decision) {
+	if d.StillPrimary {
 		m.result = "still_primary"
 		return
 	}
-	m.orderedTarget = chosen
-	m.setResult(chosen != "", "chosen", "not_chosen")
+	m.orderedTarget = d.Order.Target
+	m.setResult(d.Order.Target != "", "chosen", "not_chosen")
 }
 
 // RecordOrder passes the result of Order to the machine. refused means that the order will not be carried out.
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -124,17 +124,17 @@
 	is.Equal(d.step(time.Second), None) // the old primary is not fenced yet, however long that takes
 	d.input.PrimaryFree = true
 	is.Equal(d.step(0), Inspect)
-	d.machine.RecordInspection("", false)
+	d.machine.RecordInspection(Decision{})
 	is.Equal(d.step(0), Resume)
 	is.Equal(d.step(retryInterval), Inspect)
-	d.machine.RecordInspection("r", false)
+	d.machine.RecordInspection(Decision{Order: Pending{Target: "r"}})
 	is.Equal(d.step(0), Order)
 	d.input.Record = Record{Primary: "p", Candidate: "r", Token: 1}
 	d.machine.RecordOrder(false)
 	is.Equal(d.step(0), Confirm)
 	d.machine.RecordConfirmation(false)
 	is.Equal(d.step(0), Inspect) // the next order has a higher token
-	d.machine.RecordInspection("r", false)
+	d.machine.RecordInspection(Decision{Order: Pending{Target: "r"}})
 	is.Equal(d.step(0), Order)
 	d.input.Record.Token = 2
 	d.machine.RecordOrder(false)
