promotion: take over a primary that has restarted under another id

Callers saw: a primary crashed and was back 0.1 s later at its address, with its log and as the primary, under a new id. Cause: control removes the old id, since an address belongs to the process that started last, while the record still names it as the primary. An inspection then counts the new process as a replica: of three replicas three have to be paused, and a primary can't be. Nothing recorded a primary that leads already. TestPrimaryRestartsQuickly failed before: "a write after the restart: condition not met within 17s". Change: a target that reports the role of the primary isn't a replica, so Choose doesn't wait for it to be paused. If it is the only one, and no target that answers is ahead of it, it is recorded without an order (event "succeeded"). If an order is pending, its target is chosen again if possible; otherwise an order for the acting primary fences it off. Once a primary is recorded the replicas are resumed, since without a promotion nothing else ends their pause. Why it works: the role changes only by a promotion, so that the one that has it leads; the inspection runs once no host has the primary right any more; the record changes only if it still names the process that is gone.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -58,13 +58,15 @@
 	Received position.Position `cbor:"5,keyasint,omitzero"` // log position of the candidate
 }
 
-// recordPromotion records the primary that resulted from a promotion order, or the first primary of a
-// deployed service.
+// recordPromotion records the primary that resulted from a promotion order, the first primary of a deployed service, or
+// a target that has become the primary without an order.
 type recordPromotion struct {
 	LeaderTerm uint64 `cbor:"1,keyasint"`
 	Service    string `cbor:"2,keyasint"`
 	Token      uint64 `cbor:"3,keyasint"` // must be the recorded token: that of the order, or 0 before the first order
 	Target     string `cbor:"4,keyasint"` // the new primary
+	// Succeeds is the recorded primary that Target has replaced without an order. Empty: Target results from the order.
+	Succeeds string `cbor:"5,keyasint,omitempty"`
 }
 
 // assignHolder records the next holder of a target's lease. It is committed before the lease is granted.
@@ -202,8 +204,13 @@
 
 func (m *Machine) recordPromotion(cmd *recordPromotion) error {
 	group, store := m.editGroup(cmd.Service)
-	isFirst := group.Primary == "" && group.Candidate == "" && cmd.Token == group.Token
-	if cmd.LeaderTerm != m.leaderTerm || !isFirst && (cmd.Token != group.Token || cmd.Target != group.Candidate) {
+	if cmd.LeaderTerm != m.leaderTerm || cmd.Token != group.Token {
+		return errStale
+	}
+	_, isMember := group.Members[cmd.Target]
+	isFirst := group.Primary == ""
+	succeeds := cmd.Succeeds != "" && cmd.Succeeds == group.Primary && isMember
+	if group.Candidate == "" && !isFirst && !succeeds || group.Candidate != "" && cmd.Target != group.Candidate {
 		return errStale
 	}
 	group.Primary = cmd.Target
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -197,9 +197,12 @@
 	case promotion.RecordPrimary:
 		choice := group.promotion.OrderedTarget()
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
-			c := command{RecordPromotion: &recordPromotion{LeaderTerm: leader.term, Service: service, Token: record.Token, Target: choice}}
-			err := s.propose(ctx, c)
-			if err == nil {
+			promotion := &recordPromotion{LeaderTerm: leader.term, Service: service, Token: record.Token, Target: choice}
+			if record.Candidate == "" {
+				promotion.Succeeds = record.Primary
+			}
+			err := s.propose(ctx, command{RecordPromotion: promotion})
+			if err == nil && record.Candidate != "" {
 				promotions.Inc()
 			}
 			_ = level.Info(s.Logger).Log("msg", "primary recorded", "service", service, "target", choice, "token", record.Token, "err", err)
@@ -247,7 +250,8 @@
 			targetState, err := query(ctx, TargetRef{Service: service, Target: target, Addr: record.Members[target].Addr})
 			r := promotion.Report{Target: target, Leaving: leaving[target]}
 			if err == nil {
-				r.Answered, r.Primary, r.Paused, r.Received = true, targetState.Primary, !targetState.Primary, targetState.Received
+				r.Answered, r.Primary, r.Paused = true, targetState.Primary, !targetState.Primary
+				r.Term, r.Received = targetState.Term, targetState.Received
 			}
 			_ = level.Info(s.Logger).Log("msg", "target inspected", "service", service, "target", target,
 				"primary", targetState.Primary, "term", targetState.Term, "received", targetState.Received, "leaving", r.Leaving, "err", err)
@@ -267,7 +271,7 @@
 	wg.Wait()
 	d := inspection.Decide()
 	_ = level.Info(s.Logger).Log("msg", "promotion considered", "service", service, "primary", record.Primary,
-		"candidate", record.Candidate, "choice", d.Order.Target, "still_primary", d.StillPrimary)
+		"candidate", record.Candidate, "choice", d.Order.Target, "still_primary", d.StillPrimary, "successor", d.Successor)
 	return d
 }
 
--- a/internal/promotion/choose.go
+++ b/internal/promotion/choose.go
@@ -11,6 +11,7 @@
 	Paused   bool // a replica that receives no log until it is resumed
 	Primary  bool
 	Leaving  bool // about to shut down
+	Term     uint64
 	Received position.Position
 }
 
@@ -24,7 +25,7 @@
 // replicas. Of n replicas, any n-syncReplicas+1 therefore include one that has received it, and Choose returns
 // false until that many are paused and have answered. With syncReplicas 0, a commit may be at the primary only
 // and can be lost; then one paused replica is enough. Targets that did not answer count as replicas; the
-// primary does not.
+// primary does not, nor does a target that reports that it is the primary, in place of the recorded one.
 //
 // A target that is leaving is chosen only if no other replica has received as much and the primary, from
 // which the others could still receive the rest, doesn't answer.
@@ -40,6 +41,9 @@
 			primaryAnswers = r.Answered && r.Primary
 			continue
 		}
+		if r.Answered && r.Primary {
+			continue
+		}
 		replicas++
 		if !r.Answered || !r.Paused {
 			continue
--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -12,6 +12,7 @@
 // Decision is what an inspection leads to. At most one of the fields is set; none means that too few targets have answered.
 type Decision struct {
 	StillPrimary bool    // the recorded primary stays the primary
+	Successor    string  // target that is the primary without a promotion, in place of the recorded one
 	Order        Pending // the target to order a promotion of, and its log position
 }
 
@@ -28,10 +29,16 @@
 	if mayStay && in.Pending.Target == "" && !in.CommitsStalled {
 		return Decision{StillPrimary: true}
 	}
+	acting := in.actingPrimary()
+	if acting != nil && in.Pending.Target == "" {
+		return Decision{Successor: acting.Target}
+	}
 	if target, ok := Choose(in.Reports, in.Primary, in.SyncReplicas, in.Pending); ok {
 		return Decision{Order: in.report(target).asPending()}
 	}
 	switch {
+	case acting != nil:
+		return Decision{Order: Pending{Target: acting.Target}} // fences off the pending order
 	case !mayStay:
 		return Decision{}
 	case in.Pending.Target != "":
@@ -41,6 +48,30 @@
 	}
 }
 
+// actingPrimary returns the report of a target that leads the service although it isn't the recorded primary, or nil. This
+// comes about if the primary's process has restarted under another name before a promotion was ordered. The target must
+// have the log of the recorded primary, so no other target may be ahead of it.
+func (in *Inspection) actingPrimary() *Report {
+	var acting *Report
+	for i := range in.Reports {
+		r := &in.Reports[i]
+		switch {
+		case r.Target == in.Primary && (r.Primary || !r.Answered):
+			return nil // the recorded primary leads, or may lead
+		case r.Answered && r.Primary && acting != nil:
+			return nil
+		case r.Answered && r.Primary:
+			acting = r
+		}
+	}
+	for i := range in.Reports {
+		if r := &in.Reports[i]; acting != nil && r.Answered && (r.Term > acting.Term || r.Received.Compare(acting.Received) > 0) {
+			return nil
+		}
+	}
+	return acting
+}
+
 // report returns the report of a target that has answered, or nil.
 func (in *Inspection) report(target string) *Report {
 	for i := range in.Reports {
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -94,7 +94,8 @@
 // State returns the name of the current state.
 func (m *Machine) State() string { return m.state.State() }
 
-// OrderedTarget returns the target that the last inspection has chosen for promotion.
+// OrderedTarget returns the target that the last inspection has chosen for promotion, or has found to be the primary
+// already.
 func (m *Machine) OrderedTarget() string { return m.orderedTarget }
 
 // Serving reports whether hosts may do work that needs the recorded primary.
@@ -105,12 +106,15 @@
 
 // RecordInspection passes the result of Inspect to the machine.
 func (m *Machine) RecordInspection(d Decision) {
-	if d.StillPrimary {
+	switch {
+	case d.StillPrimary:
 		m.result = "still_primary"
-		return
+	case d.Successor != "":
+		m.orderedTarget, m.result = d.Successor, "succeeded"
+	default:
+		m.orderedTarget = d.Order.Target
+		m.setResult(d.Order.Target != "", "chosen", "not_chosen")
 	}
-	m.orderedTarget = d.Order.Target
-	m.setResult(d.Order.Target != "", "chosen", "not_chosen")
 }
 
 // RecordOrder passes the result of Order to the machine. refused means that the order will not be carried out.
