promotion: test late primaries of new services, and successions

Cause: a related path of the restarted primary. A new service whose primary registers more than 3 s after its first replica was never given a primary: recordFirstPrimary stops then, and an inspection waited for the primary to be paused (found by reading in the review). TestLatePrimaryOfNewService and TestSuccessionOfPrimary guard this, and that a succession is refused while an order is pending.

--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -51,6 +51,26 @@
 	is.Equal(m.Group("s"), Group{Primary: "c", Token: 2, Members: map[string]GroupMember{}})
 }
 
+// A target may succeed the recorded primary without an order only while that is still recorded and no order is pending.
+func TestSuccessionOfPrimary(t *testing.T) {
+	is := is.New(t)
+	m := newTestMachine(t)
+	is.Equal(apply(t, m, 1, command{Barrier: &barrier{Term: 5}}), nil)
+	is.Equal(apply(t, m, 2, registerCommand("b", "1.1.1.1:1", 100)), nil)
+	is.Equal(apply(t, m, 3, command{RecordPromotion: &recordPromotion{LeaderTerm: 5, Service: "s", Target: "a"}}), nil)
+	succeed := func(index uint64, target, primary string) any {
+		return apply(t, m, index, command{RecordPromotion: &recordPromotion{LeaderTerm: 5, Service: "s", Token: m.Group("s").Token, Target: target, Succeeds: primary}})
+	}
+	is.Equal(succeed(4, "c", "a"), errStale) // not a member
+	is.Equal(succeed(5, "b", "x"), errStale) // not the recorded primary
+	is.Equal(succeed(6, "b", ""), errStale)
+	is.Equal(succeed(7, "b", "a"), nil)
+	is.Equal(m.Group("s").Primary, "b")
+	is.Equal(succeed(8, "b", "a"), errStale)
+	is.Equal(apply(t, m, 9, command{OrderPromotion: &orderPromotion{LeaderTerm: 5, Service: "s", Token: 1, Target: "c"}}), nil)
+	is.Equal(succeed(10, "b", "b"), errStale)
+}
+
 // A snapshot must keep the recorded lease holders and the pending promotion order, and removing a target must
 // remove its recorded holder.
 func TestSnapshotKeepsHoldersAndPromotionOrders(t *testing.T) {
--- a/internal/promotion/decide_test.go
+++ b/internal/promotion/decide_test.go
@@ -42,6 +42,14 @@
 	is.True(m.Serving())
 }
 
+// Guards against a new service that stays without a primary because its primary registers later than its replicas.
+func TestLatePrimaryOfNewService(t *testing.T) {
+	is := is.New(t)
+	in := restartedPrimary()
+	in.Primary = ""
+	is.Equal(in.Decide(), Decision{Successor: "p2"})
+}
+
 // Guards against a restarted primary that is taken over although it has lost its log, and against one that counts as a
 // replica, so that no replica can be promoted either.
 func TestRestartedPrimaryWithoutLog(t *testing.T) {
