control: don't serve a primary that reports the role of a replica

Callers would see: writes refused by the database for good. Cause: the condition for a primary that has become a replica compared the start of its process with the record, which the same registration has just updated, so that it never held. Change: a registration with the role of a replica counts once roleReportDelay has passed since the promotion state last changed to steady; registrations that were under way then don't. An inspection decides what follows. TestPrimaryThatReportsReplicaRole failed before at registered(1, false). Result: go test of control passes.

--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -112,6 +112,26 @@
 	is.True(!leader.targetAndHolderSilent(now, "db"))
 }
 
+// Guards against a service whose recorded primary has become a replica, as after a restart without its log, and that goes on
+// as if it had a primary. Registrations that were under way when it was recorded don't count.
+func TestPrimaryThatReportsReplicaRole(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	m := newTestMachine(t)
+	s := New(Config{Name: "c", Machine: m, Log: testMember{&testConsensus{}, 1}, Transport: unreachableTransport{}, Clock: clk, Logger: log.NewNopLogger()})
+	leader := newLeaderState(clk.Now(), 1, true)
+	record := Group{Primary: "a", Members: map[string]GroupMember{"a": {StartedMs: 200}}}
+	group := leader.groupState(clk.Now(), "s")
+	registered := func(after time.Duration, primary bool) bool {
+		clk.Advance(after)
+		leader.registrations["a"] = &registration{Registration: wire.Registration{Target: "a", StartedMs: 200, Primary: primary}, receivedAt: clk.Now()}
+		return s.promotionInput(leader, clk.Now(), record, group).PrimaryGone
+	}
+	is.True(!registered(roleReportDelay-1, false))
+	is.True(registered(1, false))
+	is.True(!registered(1, true))
+}
+
 // Guards against a target that has left, or is leaving, and is in use again after a change of leader, until it registers
 // at the new one and for a whole drain time after that.
 func TestLeavingTargetStaysLeaving(t *testing.T) {
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -85,6 +85,7 @@
 			group.unsteadySince = now
 		}
 		if after == "steady" {
+			group.steadySince = now
 			promotionSeconds.Update(now.Sub(group.unsteadySince).Seconds())
 			s.sendRenewNowToEntryHosts(leader)
 		}
@@ -121,9 +122,9 @@
 		in.PrimaryGone, in.PrimaryFree = true, true
 		return in
 	}
-	member, ok := record.Members[record.Primary]
+	_, ok := record.Members[record.Primary]
 	r := leader.registrations[record.Primary]
-	in.PrimaryGone = !ok || r != nil && r.StartedMs > member.StartedMs && !r.Primary
+	in.PrimaryGone = !ok || r != nil && !r.Primary && r.receivedAt.Sub(group.steadySince) >= roleReportDelay
 	in.PrimaryLeaving = r != nil && r.Leaving || r == nil && !leader.leavingSince(record.Primary).IsZero()
 	in.PrimaryFree = leader.targetLeases.PrimaryFree(now, record.Primary)
 	if h, ok := group.health[record.Primary]; ok && now.Sub(h.receivedAt) < healthReportTTL {
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -37,6 +37,9 @@
 	// silent for longer than this, they may have failed together.
 	registrationOverdue = 2 * time.Second
 	renewalOverdue      = 1200 * time.Millisecond
+	// roleReportDelay is how long after the last change of a service's promotion state the primary may still report, in a
+	// registration that was under way, that it is a replica.
+	roleReportDelay = 2 * time.Second
 	// firstPrimaryWait is how long the leader waits for a target of a new deployed service to register as
 	// the primary before it starts a promotion.
 	firstPrimaryWait = 3 * time.Second
@@ -54,6 +57,7 @@
 	promotion     *promotion.Machine
 	createdAt     time.Time
 	unsteadySince time.Time               // when the promotion state machine last left its steady state
+	steadySince   time.Time               // when it last returned to it, or createdAt
 	actionRunning bool                    // a promotion action is running in the background
 	choice        promotion.Pending       // of the last inspection
 	health        map[string]targetHealth // by target
@@ -68,7 +72,7 @@
 func (l *leaderState) groupState(now time.Time, service string) *groupState {
 	group := l.groups[service]
 	if group == nil {
-		group = &groupState{promotion: promotion.New(), createdAt: now, unsteadySince: now, health: map[string]targetHealth{}}
+		group = &groupState{promotion: promotion.New(), createdAt: now, unsteadySince: now, steadySince: now, health: map[string]targetHealth{}}
 		l.groups[service] = group
 	}
 	return group
