admin: refuse announcements with odd names or addresses

Cause: POST /v1/announce took any address and name. An announcement of another writer with port 65536, port 0 or a name with a line break became a member of its service in the place of a database, which was refused then as one too many. Change: names and addresses are checked as for the platform; the answer is 400 with the reason. Result: TestOddAnnouncements failed before (200 instead of 400); deep nesting and numbers too large were refused before.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -167,6 +167,10 @@
 	if !readJSON(w, r, &a, maxAnnounceBytes) {
 		return
 	}
+	if err := wire.CheckTarget(a.Target, a.Service, a.Place, a.Addr); err != nil {
+		writeError(w, http.StatusBadRequest, codeBadRequest, err.Error())
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
 	reply, err := s.cfg.Backend.Announce(ctx, a)
