control: record that replicas are paused, and resume them

Callers saw: the control leader was killed during a planned promotion. Change: the record says that replicas may be paused, committed before the first pause; it is cleared once all have answered a resume. Why not resume at each change of leader: with 250 services that is 500 connections at a moment when the leader is busiest.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -26,6 +26,7 @@
 	OrderPromotion   *orderPromotion   `cbor:"10,keyasint,omitempty"`
 	RecordPromotion  *recordPromotion  `cbor:"11,keyasint,omitempty"`
 	AssignHolder     *assignHolder     `cbor:"12,keyasint,omitempty"`
+	PauseGroup       *pauseGroup       `cbor:"13,keyasint,omitempty"`
 }
 
 // barrier is the first command that a new leader commits. The leader grants nothing before the barrier
@@ -143,6 +144,8 @@
 		return m.recordPromotion(c.RecordPromotion)
 	case c.AssignHolder != nil:
 		return m.assignHolder(c.AssignHolder)
+	case c.PauseGroup != nil:
+		return m.pauseGroup(c.PauseGroup)
 	default:
 		return errors.New("command is empty, or its type is unknown to this version")
 	}
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -18,6 +18,7 @@
 	Members   map[string]GroupMember `cbor:"4,keyasint,omitempty"`
 	// CandidateReceived is the log position of Candidate when it was chosen.
 	CandidateReceived position.Position `cbor:"5,keyasint,omitzero"`
+	Paused            bool              `cbor:"6,keyasint,omitempty"` // replicas may be paused by an inspection
 }
 
 // GroupMember is a registered target of a deployed service.
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -90,6 +90,9 @@
 			s.sendRenewNowToEntryHosts(leader)
 		}
 	}
+	if action == promotion.None && group.promotion.State() == "steady" && record.Paused && !now.Before(group.resumeRetryAt) {
+		action = promotion.Resume // some replicas weren't resumed, or an earlier leader has paused them
+	}
 	s.startPromotionAction(leader, now, service, record, group, action)
 }
 
@@ -172,15 +175,22 @@
 		}
 		commitsStalled := group.health[record.Primary].CommitStall >= commitStallLimit
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
-			d := s.inspect(ctx, service, record, leaving, commitsStalled)
+			var d promotion.Decision
+			if record.Paused || s.recordPaused(ctx, leader, service, true) == nil {
+				d = s.inspect(ctx, service, record, leaving, commitsStalled)
+			}
 			return func() {
 				group.choice = d.Order
 				group.promotion.RecordInspection(d)
 			}
 		})
 	case promotion.Resume:
+		steady := group.promotion.State() == "steady" // otherwise they are paused again soon
+		group.resumeRetryAt = now.Add(resumeRetryInterval)
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
-			s.resumeReplicas(ctx, service, record)
+			if s.resumeReplicas(ctx, service, record) && steady && record.Paused {
+				_ = s.recordPaused(ctx, leader, service, false) // tried again after resumeRetryInterval
+			}
 			return func() {}
 		})
 	case promotion.Order:
@@ -289,24 +299,6 @@
 	return 1
 }
 
-func (s *Server) resumeReplicas(ctx context.Context, service string, record Group) {
-	var wg sync.WaitGroup
-	for target, member := range record.Members {
-		if target == record.Primary {
-			continue
-		}
-		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
-			defer cancel()
-			err := s.TargetControl.Resume(ctx, TargetRef{Service: service, Target: target, Addr: member.Addr})
-			if err != nil {
-				_ = level.Info(s.Logger).Log("msg", "replica not resumed", "service", service, "target", target, "err", err)
-			}
-		})
-	}
-	wg.Wait()
-}
-
 // orderPromotion commits the next fencing token and the candidate, and then sends the promotion order.
 // refused is true if the order will certainly not be carried out.
 func (s *Server) orderPromotion(ctx context.Context, leader *leaderState, service string, record Group, choice promotion.Pending) (refused bool) {
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -59,6 +59,7 @@
 	unsteadySince time.Time               // when the promotion state machine last left its steady state
 	steadySince   time.Time               // when it last returned to it, or createdAt
 	actionRunning bool                    // a promotion action is running in the background
+	resumeRetryAt time.Time               // when replicas that may be paused are resumed again
 	choice        promotion.Pending       // of the last inspection
 	health        map[string]targetHealth // by target
 }
