promotion: let a fenced primary that answers prove what a replica has

A database that is lost for good 3 s before the replacement has the same effect. Cause: Choose waits for n-SyncReplicas+1 of n replicas to answer. A member that is gone never does, and outside of the steady state no member is removed. Change: if the recorded primary answers, a replica that has received as much as it is chosen without counting the others. Why it is safe: the inspection runs once no host has the primary right any more, so that no commit is acknowledged after the primary's position is read; all that were acknowledged are at or before it.

--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -33,6 +33,9 @@
 	if acting != nil && in.Pending.Target == "" {
 		return Decision{Successor: acting.Target}
 	}
+	if r := in.complete(primary); r != nil {
+		return Decision{Order: r.asPending()}
+	}
 	if target, ok := Choose(in.Reports, in.Primary, in.SyncReplicas, in.Pending); ok {
 		return Decision{Order: in.report(target).asPending()}
 	}
@@ -72,6 +75,23 @@
 	return acting
 }
 
+// complete returns the best replica for promotion that has received all that the answering primary has, or nil. Since the
+// primary is fenced, no later commit is acknowledged, so that it doesn't matter what the targets have that don't answer.
+func (in *Inspection) complete(primary *Report) *Report {
+	var best *Report
+	for i := range in.Reports {
+		r := &in.Reports[i]
+		switch {
+		case primary == nil || !r.Answered || !r.Paused || r.Leaving || r.Received.Compare(primary.Received) < 0:
+		case r.Target == in.Pending.Target && r.Received.Compare(in.Pending.Received) >= 0:
+			return r
+		case best == nil || betterCandidate(r, best):
+			best = r
+		}
+	}
+	return best
+}
+
 // report returns the report of a target that has answered, or nil.
 func (in *Inspection) report(target string) *Report {
 	for i := range in.Reports {
--- a/internal/promotion/decide_test.go
+++ b/internal/promotion/decide_test.go
@@ -71,6 +71,29 @@
 	is.Equal(in.Decide(), Decision{Order: Pending{Target: "p2"}})
 }
 
+// Guards against a planned promotion that waits for ever for a target that is gone, although the primary answers and a replica
+// has all that it has.
+func TestPlannedPromotionWithoutLostTarget(t *testing.T) {
+	is := is.New(t)
+	in := &Inspection{
+		Primary: "p", SyncReplicas: 1,
+		Reports: []Report{
+			{Target: "p", Answered: true, Primary: true, Leaving: true, Term: 1, Received: positionAt(9)},
+			{Target: "a", Answered: true, Paused: true, Term: 1, Received: positionAt(9)},
+			{Target: "b", Answered: true, Paused: true, Term: 1, Received: positionAt(9)},
+			{Target: "gone"},
+		},
+	}
+	is.Equal(in.Decide(), Decision{Order: Pending{Target: "a", Received: positionAt(9)}})
+	in.Pending = Pending{Target: "b", Received: positionAt(7)}
+	is.Equal(in.Decide(), Decision{Order: Pending{Target: "b", Received: positionAt(9)}})
+	in.Pending = Pending{}
+	in.Reports[1].Received, in.Reports[2].Leaving = positionAt(8), true
+	is.Equal(in.Decide(), Decision{}) // a can still receive from p, b will be gone soon
+	in.Reports[0].Answered, in.Reports[0].Primary = false, false
+	is.Equal(in.Decide(), Decision{}) // the target that doesn't answer may have a commit that the others lack
+}
+
 // Guards against decisions that lose an acknowledged commit after the primary has restarted, with or without its log.
 func TestDecideKeepsAcknowledgedCommits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
