control: record a leave that comes before a registration

Cause: a leave was acknowledged without being recorded if this leader had no registration of the target. A new leader has none until the next heartbeat, which a database that leaves doesn't send any more. Change: the service and the process of the target are taken from the record. Result: TestLeaveAfterChangeOfLeader failed before (still a member).

--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -132,6 +132,21 @@
 	is.True(!registered(1, true))
 }
 
+// Guards against a target that has left but stays a member for good, because it left after a change of leader and hadn't
+// registered at the new one: promotions wait for its answer.
+func TestLeaveAfterChangeOfLeader(t *testing.T) {
+	is := is.New(t)
+	s, leader := newGroupServer(t, clock.NewFake(time.Unix(1000, 0)), &groupControl{primary: "p"})
+	reply, err := s.deregisterTarget(t.Context(), leader, &wire.Registration{Target: "a", Terminating: true})
+	is.NoErr(err)
+	is.True(reply.OK)
+	_, isMember := s.Machine.Group("s").Members["a"]
+	is.True(!isMember)
+	reply, err = s.deregisterTarget(t.Context(), leader, &wire.Registration{Target: "a", Terminating: true})
+	is.NoErr(err)
+	is.True(reply.OK) // sent again, as the answer may be lost
+}
+
 // Guards against a target that has left, or is leaving, and is in use again after a change of leader, until it registers
 // at the new one and for a whole drain time after that.
 func TestLeavingTargetStaysLeaving(t *testing.T) {
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -184,18 +184,20 @@
 	}
 }
 
-// deregisterTarget removes a target whose process is terminating from its service.
+// deregisterTarget removes a target whose process is terminating from its service. The target may not have registered at
+// this leader: it stops registering before it terminates.
 func (s *Server) deregisterTarget(ctx context.Context, leader *leaderState, req *wire.Registration) (*wire.RegistrationReply, error) {
+	service := s.deployedServiceOfTarget(req.Target)
+	if service == "" {
+		return &wire.RegistrationReply{OK: true}, nil
+	}
 	s.mu.Lock()
 	r := leader.registrations[req.Target]
 	s.mu.Unlock()
-	if r == nil {
-		return &wire.RegistrationReply{OK: true}, nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	c := command{DeregisterTarget: &deregisterTarget{Service: r.Service, Target: r.Target, StartedMs: r.StartedMs}}
-	if err := s.propose(ctx, c); err != nil && !errors.Is(err, errNotTargetOfService) {
+	c := &deregisterTarget{Service: service, Target: req.Target, StartedMs: s.Machine.Group(service).Members[req.Target].StartedMs}
+	if err := s.propose(ctx, command{DeregisterTarget: c}); err != nil && !errors.Is(err, errNotTargetOfService) {
 		return &wire.RegistrationReply{Message: err.Error()}, nil
 	}
 	s.mu.Lock()
@@ -203,7 +205,7 @@
 	if leader.registrations[req.Target] == r {
 		delete(leader.registrations, req.Target)
 	}
-	_ = level.Info(s.Logger).Log("msg", "target gone", "service", r.Service, "target", r.Target, "born", r.StartedMs)
+	_ = level.Info(s.Logger).Log("msg", "target gone", "service", service, "target", req.Target, "born", c.StartedMs)
 	return &wire.RegistrationReply{OK: true}, nil
 }
 
