control: count a replica that has left until the others have what it had

Cause: a target that left was taken out of the record at once, and Choose then asked only the present replicas, as if each acknowledged commit were at one of them. Change: a replica that leaves is kept in the record as departed, without work. Choose counts it as a replica that doesn't answer. In the steady state, the leader removes it once it no longer answers at its address, and as many replicas as acknowledge a commit have received what the primary has after that. Why it works: the position of the primary is read after the departed target is gone, so that it covers all that the target can have acknowledged; the removal is refused if the primary has changed meanwhile. If the primary crashes before its replicas have caught up, the service waits for it instead of losing commits.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -27,6 +27,7 @@
 	RecordPromotion  *recordPromotion  `cbor:"11,keyasint,omitempty"`
 	AssignHolder     *assignHolder     `cbor:"12,keyasint,omitempty"`
 	PauseGroup       *pauseGroup       `cbor:"13,keyasint,omitempty"`
+	SettleDeparted   *settleDeparted   `cbor:"14,keyasint,omitempty"`
 }
 
 // barrier is the first command that a new leader commits. The leader grants nothing before the barrier
@@ -146,6 +147,8 @@
 		return m.assignHolder(c.AssignHolder)
 	case c.PauseGroup != nil:
 		return m.pauseGroup(c.PauseGroup)
+	case c.SettleDeparted != nil:
+		return m.settleDeparted(c.SettleDeparted)
 	default:
 		return errors.New("command is empty, or its type is unknown to this version")
 	}
--- /dev/null
+++ b/internal/control/departed.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// settleInterval is the time between two attempts to settle the departed targets of a service.
+const settleInterval = time.Second
+
+// settleDeparted removes departed targets from a service's record, once its replicas have received what these may have had.
+type settleDeparted struct {
+	LeaderTerm uint64   `cbor:"1,keyasint"`
+	Service    string   `cbor:"2,keyasint"`
+	Primary    string   `cbor:"3,keyasint"` // must be the recorded primary, without a pending order
+	Targets    []string `cbor:"4,keyasint"`
+}
+
+func (m *Machine) settleDeparted(cmd *settleDeparted) error {
+	group, store := m.editGroup(cmd.Service)
+	if cmd.LeaderTerm != m.leaderTerm || group.Primary != cmd.Primary || group.Candidate != "" {
+		return errStale
+	}
+	for _, target := range cmd.Targets {
+		delete(group.Departed, target)
+	}
+	store()
+	return nil
+}
+
+// stepDeparted settles the departed targets of a service in its steady state. Server.mu must be held.
+func (s *Server) stepDeparted(leader *leaderState, now time.Time, service string) {
+	record := s.Machine.Group(service)
+	group := leader.groupState(now, service)
+	if len(record.Departed) == 0 || group.promotion.State() != "steady" || group.settling || now.Before(group.settleAt) {
+		return
+	}
+	if _, ok := record.Members[record.Primary]; !ok {
+		return
+	}
+	group.settling, group.settleAt = true, now.Add(settleInterval)
+	s.runInBackground(func() {
+		s.settle(leader, service, record)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		group.settling = false
+	})
+}
+
+// settle removes departed targets from the record if they no longer run, and if enough replicas to acknowledge a commit have
+// received as much as the primary has after that: all that the departed targets can have had.
+func (s *Server) settle(leader *leaderState, service string, record Group) {
+	ctx, cancel := context.WithTimeout(s.ctx, promotionActionTimeout)
+	defer cancel()
+	gone := s.departedAndGone(ctx, service, record)
+	if len(gone) == 0 {
+		return
+	}
+	state := func(target string) (TargetState, error) {
+		ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+		defer cancel()
+		return s.TargetControl.State(ctx, TargetRef{Service: service, Target: target, Addr: record.Members[target].Addr})
+	}
+	primary, err := state(record.Primary)
+	if err != nil || !primary.Primary {
+		return
+	}
+	var wg sync.WaitGroup
+	var complete atomic.Int32
+	for target := range record.Members {
+		if target != record.Primary {
+			wg.Go(func() {
+				if r, err := state(target); err == nil && r.Received.Compare(primary.Received) >= 0 {
+					complete.Add(1)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	if int(complete.Load()) < s.syncReplicas(service) {
+		return
+	}
+	c := &settleDeparted{LeaderTerm: leader.term, Service: service, Primary: record.Primary, Targets: gone}
+	err = s.propose(ctx, command{SettleDeparted: c})
+	_ = level.Info(s.Logger).Log("msg", "departed targets settled", "service", service, "targets", len(gone), "received", primary.Received, "err", err)
+}
+
+// departedAndGone returns the departed targets that don't answer any more at the address that they had.
+func (s *Server) departedAndGone(ctx context.Context, service string, record Group) []string {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var gone []string
+	for target, member := range record.Departed {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+			defer cancel()
+			if _, err := s.TargetControl.State(ctx, TargetRef{Service: service, Target: target, Addr: member.Addr}); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				gone = append(gone, target)
+			}
+		})
+	}
+	wg.Wait()
+	return gone
+}
--- /dev/null
+++ b/internal/control/departed_test.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/wire"
+)
+
+// Guards against a promotion that loses acknowledged commits because the replica that had them has left, while the others had
+// received nothing for a while: it must count until the others have what it had.
+func TestDepartedReplicaCounts(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	targets := &groupControl{primary: "p", unreachable: map[string]bool{}, paused: map[string]bool{}, behind: map[string]bool{"a": true, "b": true}}
+	s, leader := newGroupServer(t, clk, targets)
+	is.Equal(apply(t, s.Machine, 100, registerCommand("l", "1.1.1.1:4", 100)), nil)
+	_, err := s.deregisterTarget(t.Context(), leader, &wire.Registration{Target: "l", Terminating: true})
+	is.NoErr(err)
+	settle := func() int {
+		s.mu.Lock()
+		s.stepDeparted(leader, clk.Now(), "s")
+		s.mu.Unlock()
+		s.background.Wait()
+		clk.Advance(settleInterval)
+		return len(s.Machine.Group("s").Departed)
+	}
+	chooses := func() bool {
+		return s.inspect(t.Context(), "s", s.Machine.Group("s"), nil, false).Order.Target != ""
+	}
+	is.Equal(settle(), 1) // neither a nor b has what l had
+	targets.unreachable["p"] = true
+	is.True(!chooses())
+	targets.unreachable["p"] = false
+	targets.behind["a"] = false
+	is.Equal(settle(), 1) // l still answers, and may still receive commits
+	targets.unreachable["l"] = true
+	targets.unreachable["p"] = true
+	is.Equal(settle(), 1) // what p has isn't known
+	targets.unreachable["p"] = false
+	is.Equal(settle(), 0)
+	targets.unreachable["p"] = true
+	is.True(chooses())
+}
+
+// A departed target must count until it is settled, for the primary of that time only, or registers again, and must outlast a
+// snapshot. The primary itself doesn't count as a replica.
+func TestDepartedTargetsAreRecorded(t *testing.T) {
+	is := is.New(t)
+	s, _ := newGroupServer(t, clock.NewFake(time.Unix(1000, 0)), &groupControl{})
+	m := s.Machine
+	leave := func(index uint64, target string) {
+		is.Equal(apply(t, m, index, command{DeregisterTarget: &deregisterTarget{Service: "s", Target: target, StartedMs: 100}}), nil)
+	}
+	leave(10, "a")
+	leave(11, "b")
+	is.Equal(len(m.Group("s").Departed), 2)
+	data, err := m.Snapshot()
+	is.NoErr(err)
+	restored := newTestMachine(t)
+	is.NoErr(restored.Restore(data))
+	is.Equal(restored.Group("s"), m.Group("s"))
+	leave(12, "p")
+	is.Equal(len(m.Group("s").Departed), 2)
+	is.Equal(apply(t, m, 13, registerCommand("a", "1.1.1.1:2", 100)), nil)
+	is.Equal(len(m.Group("s").Departed), 1)
+	settle := &settleDeparted{LeaderTerm: 5, Service: "s", Primary: "x", Targets: []string{"b"}}
+	is.Equal(apply(t, m, 14, command{SettleDeparted: settle}), errStale)
+	settle.Primary = "p"
+	is.Equal(apply(t, m, 15, command{SettleDeparted: settle}), nil)
+	is.Equal(len(m.Group("s").Departed), 0)
+}
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -19,6 +19,9 @@
 	// CandidateReceived is the log position of Candidate when it was chosen.
 	CandidateReceived position.Position `cbor:"5,keyasint,omitzero"`
 	Paused            bool              `cbor:"6,keyasint,omitempty"` // replicas may be paused by an inspection
+	// Departed are the replicas that have left, or are lost, and may have had acknowledged commits that no member has
+	// except the primary. They get no work.
+	Departed map[string]GroupMember `cbor:"7,keyasint,omitempty"`
 }
 
 // GroupMember is a registered target of a deployed service.
@@ -136,6 +139,7 @@
 	if group.Members == nil {
 		group.Members = map[string]GroupMember{}
 	}
+	group.Departed = maps.Clone(group.Departed)
 	return &group, func() { m.groups[service] = &group }
 }
 
@@ -167,13 +171,20 @@
 		member.Leaving = member.Leaving || old.Leaving // a late registration doesn't revoke it
 	}
 	group.Members[cmd.Target] = member
+	delete(group.Departed, cmd.Target)
 	store()
 	return nil
 }
 
-// deleteTarget removes a target and its recorded holder.
+// deleteTarget removes a target and its recorded holder. A replica is recorded as departed.
 func (m *Machine) deleteTarget(service, target string) {
 	group, store := m.editGroup(service)
+	if target != group.Primary {
+		if group.Departed == nil {
+			group.Departed = map[string]GroupMember{}
+		}
+		group.Departed[target] = group.Members[target]
+	}
 	delete(group.Members, target)
 	delete(m.targetHolders, target)
 	store()
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -14,12 +14,13 @@
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
-// groupControl is a TargetControl of a primary and its replicas, which have all received the same.
+// groupControl is a TargetControl of a primary and its replicas.
 type groupControl struct {
 	mu          sync.Mutex
 	primary     string
 	unreachable map[string]bool
 	paused      map[string]bool
+	behind      map[string]bool // replicas that have received less than the primary
 	resumes     int
 }
 
@@ -29,7 +30,11 @@
 	if c.unreachable[t.Target] {
 		return TargetState{}, errOutcomeUnknown
 	}
-	return TargetState{Primary: t.Target == c.primary, Term: 1, Received: position.Position{Term: 1, Offset: 8}}, nil
+	received := position.Position{Term: 1, Offset: 8}
+	if c.behind[t.Target] {
+		received.Offset = 5
+	}
+	return TargetState{Primary: t.Target == c.primary, Term: 1, Received: received}, nil
 }
 
 func (c *groupControl) Pause(ctx context.Context, t TargetRef) (TargetState, error) {
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -249,7 +249,7 @@
 func (s *Server) inspect(ctx context.Context, service string, record Group, leaving map[string]bool, commitsStalled bool) promotion.Decision {
 	inspection := promotion.Inspection{
 		Primary: record.Primary, Pending: promotion.Pending{Target: record.Candidate, Received: record.CandidateReceived},
-		SyncReplicas: s.syncReplicas(service), CommitsStalled: commitsStalled,
+		SyncReplicas: s.syncReplicas(service), Departed: len(record.Departed), CommitsStalled: commitsStalled,
 		Reports: make([]promotion.Report, 0, len(record.Members)),
 	}
 	var mu sync.Mutex
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -60,6 +60,8 @@
 	steadySince   time.Time               // when it last returned to it, or createdAt
 	actionRunning bool                    // a promotion action is running in the background
 	resumeRetryAt time.Time               // when replicas that may be paused are resumed again
+	settling      bool                    // departed targets are being settled in the background
+	settleAt      time.Time               // when that is tried again
 	choice        promotion.Pending       // of the last inspection
 	health        map[string]targetHealth // by target
 }
@@ -292,6 +294,7 @@
 	for _, service := range s.Machine.GroupNames() {
 		s.stepPromotion(leader, now, service)
 		s.removeExpiredReplicas(leader, now, service)
+		s.stepDeparted(leader, now, service)
 	}
 	s.sendPendingBroadcast(leader)
 }
--- a/internal/promotion/choose.go
+++ b/internal/promotion/choose.go
@@ -22,8 +22,8 @@
 }
 
 // Choose returns the target to promote. Each acknowledged commit is at the primary and at syncReplicas or more
-// replicas. Of n replicas, any n-syncReplicas+1 therefore include one that has received it, and Choose returns
-// false until that many are paused and have answered. With syncReplicas 0, a commit may be at the primary only
+// replicas, of which some may have departed since. Of n replicas, any n-syncReplicas+1 therefore include one that has
+// received it, and Choose returns false until that many are paused and have answered. With syncReplicas 0, a commit may be at the primary only
 // and can be lost; then one paused replica is enough. Targets that did not answer count as replicas; the
 // primary does not, nor does a target that reports that it is the primary, in place of the recorded one.
 //
@@ -32,8 +32,8 @@
 //
 // The target of a pending order is chosen again if it still has what it had received then and isn't leaving: nothing was
 // acknowledged since, and an earlier order that is carried out late changes nothing if all orders name the same target.
-func Choose(reports []Report, primary string, syncReplicas int, pending Pending) (target string, ok bool) {
-	replicas, paused, primaryAnswers := 0, 0, false
+func Choose(reports []Report, primary string, syncReplicas, departed int, pending Pending) (target string, ok bool) {
+	replicas, paused, primaryAnswers := departed, 0, false
 	var best, ordered *Report
 	for i := range reports {
 		r := &reports[i]
--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -5,6 +5,7 @@
 	Primary        string // the recorded primary
 	Pending        Pending
 	SyncReplicas   int
+	Departed       int      // targets that have gone, and may have had commits that no target has
 	CommitsStalled bool     // commits wait for replicas that don't answer
 	Reports        []Report // of all targets of the service
 }
@@ -36,7 +37,7 @@
 	if r := in.complete(primary); r != nil {
 		return Decision{Order: r.asPending()}
 	}
-	if target, ok := Choose(in.Reports, in.Primary, in.SyncReplicas, in.Pending); ok {
+	if target, ok := Choose(in.Reports, in.Primary, in.SyncReplicas, in.Departed, in.Pending); ok {
 		return Decision{Order: in.report(target).asPending()}
 	}
 	switch {
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -23,6 +23,7 @@
 		for _, i := range rapid.Permutation(indexes(replicas)).Draw(t, "holders")[:syncReplicas] {
 			ackedBy[i] = true
 		}
+		departed := 0
 		reports := []Report{{Target: "primary", Answered: rapid.Bool().Draw(t, "primary answers"), Primary: true}}
 		received := map[string]uint64{}
 		for i := range replicas {
@@ -33,6 +34,10 @@
 			if ackedBy[i] {
 				r.Received = positionAt(commit + rapid.Uint64Range(0, 5).Draw(t, "ahead"))
 			}
+			if rapid.Bool().Draw(t, "departed") {
+				departed++
+				continue
+			}
 			received[r.Target] = r.Received.Offset
 			reports = append(reports, r)
 		}
@@ -40,7 +45,7 @@
 		if rapid.Bool().Draw(t, "order pending") { // of an order that was made when the commit was at its target
 			pending = Pending{Target: rapid.SampledFrom(reports).Draw(t, "ordered").Target, Received: positionAt(commit)}
 		}
-		choice, ok := Choose(reports, "primary", syncReplicas, pending)
+		choice, ok := Choose(reports, "primary", syncReplicas, departed, pending)
 		if ok && received[choice] < commit {
 			t.Fatalf("chose %s, which has received offset %d, but offset %d was acknowledged",
 				choice, received[choice], commit)
@@ -64,14 +69,14 @@
 		{Target: "a", Answered: true, Paused: true, Leaving: true, Received: positionAt(9)},
 		{Target: "b", Answered: true, Paused: true, Received: positionAt(8)},
 	}
-	_, ok := Choose(reports, "p", 1, Pending{})
+	_, ok := Choose(reports, "p", 1, 0, Pending{})
 	is.True(!ok) // b can still receive from p
 	reports[0].Answered = false
-	choice, ok := Choose(reports, "p", 1, Pending{})
+	choice, ok := Choose(reports, "p", 1, 0, Pending{})
 	is.True(ok)
 	is.Equal(choice, "a") // only a has the last commit
 	reports[2].Received = positionAt(9)
-	choice, _ = Choose(reports, "p", 1, Pending{})
+	choice, _ = Choose(reports, "p", 1, 0, Pending{})
 	is.Equal(choice, "b")
 }
 
@@ -84,13 +89,13 @@
 		{Target: "a", Answered: true, Paused: true, Received: positionAt(8)},
 		{Target: "b", Answered: true, Paused: true, Received: positionAt(9)}, // has received more since, which wasn't acknowledged
 	}
-	choice, ok := Choose(reports, "p", 1, Pending{Target: "a", Received: positionAt(8)})
+	choice, ok := Choose(reports, "p", 1, 0, Pending{Target: "a", Received: positionAt(8)})
 	is.True(ok)
 	is.Equal(choice, "a")
-	choice, _ = Choose(reports, "p", 1, Pending{Target: "a", Received: positionAt(9)})
+	choice, _ = Choose(reports, "p", 1, 0, Pending{Target: "a", Received: positionAt(9)})
 	is.Equal(choice, "b") // a has lost its log since
 	reports[1].Leaving = true
-	choice, _ = Choose(reports, "p", 1, Pending{Target: "a", Received: positionAt(8)})
+	choice, _ = Choose(reports, "p", 1, 0, Pending{Target: "a", Received: positionAt(8)})
 	is.Equal(choice, "b") // a will be gone soon
 }
 
