control: remove lost replicas in any state, and count them as departed

Cause: a replica that was silent for 8 s was taken out of the record as if the others had all that it had; and it was never taken out while a promotion was under way, or if no host had its lease to report its silence, as after a leave that nobody acknowledged. Change: such a replica is removed in any state and counts as departed until the others have what it had, so that the removal itself loses nothing. A replica whose holder reaches it, or that registers, stays.

--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -1,12 +1,16 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/placement"
+	"github.com/citronrun/citronrun/internal/promotion"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -46,6 +50,33 @@
 	is.True(chooses())
 }
 
+// Guards against a replica that is lost for good and stays a member, because a promotion was under way or no host had its
+// lease, and against the removal of a replica that answers the holder of its lease or has registered.
+func TestLostReplicaIsRemoved(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	s, leader := newGroupServer(t, clk, &groupControl{primary: "p"})
+	for i, target := range []string{"held", "silent", "registered"} {
+		is.Equal(apply(t, s.Machine, uint64(100+i), registerCommand(target, "1.1.1.1:1"+target, 100)), nil)
+	}
+	group := leader.groupState(clk.Now(), "s")
+	group.promotion.Step(promotion.Input{Now: clk.Now(), Record: promotion.Record{Primary: "p"}, PrimaryLeaving: true})
+	is.True(group.promotion.State() != "steady")
+	clk.Advance(registrationTTL)
+	for _, target := range []string{"held", "silent"} {
+		leader.targetLeases.Assign(clk.Now(), target, placement.Record{Host: "h", BootID: "1", Epoch: 1})
+	}
+	group.health["silent"] = targetHealth{TargetHealth: wire.TargetHealth{Target: "silent", SilentFor: registrationTTL}}
+	leader.registrations["registered"] = &registration{receivedAt: clk.Now()}
+	s.mu.Lock()
+	s.removeExpiredReplicas(leader, clk.Now(), "s")
+	s.mu.Unlock()
+	s.background.Wait()
+	record := s.Machine.Group("s")
+	is.Equal(slices.Sorted(maps.Keys(record.Members)), []string{"held", "p", "registered"})
+	is.Equal(slices.Sorted(maps.Keys(record.Departed)), []string{"a", "b", "silent"})
+}
+
 // A departed target must count until it is settled, for the primary of that time only, or registers again, and must outlast a
 // snapshot. The primary itself doesn't count as a replica.
 func TestDepartedTargetsAreRecorded(t *testing.T) {
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -18,7 +18,7 @@
 	// leaving.
 	DefaultDrainTime = 4 * time.Second
 	// A replica that has neither registered nor responded to the holder of its lease for registrationTTL is
-	// removed from its service. Until then it counts as a replica that may have received a commit.
+	// removed from its service.
 	registrationTTL = 8 * time.Second
 	// targetAssignmentDelay is how long a new leader collects renewals before it assigns targets.
 	targetAssignmentDelay = 400 * time.Millisecond
@@ -299,19 +299,16 @@
 	s.sendPendingBroadcast(leader)
 }
 
-// removeExpiredReplicas removes replicas that have been silent for registrationTTL while the primary is
-// healthy. By then the other replicas have received every commit that the silent one may have received.
+// removeExpiredReplicas removes replicas that have been silent for registrationTTL: they haven't registered, and don't
+// answer the holder of their lease or have none. They count as departed. A replica that registers again is a member again.
 func (s *Server) removeExpiredReplicas(leader *leaderState, now time.Time, service string) {
 	record := s.Machine.Group(service)
 	group := leader.groupState(now, service)
-	if group.promotion.State() != "steady" || !leader.recentlyRegistered(now, record.Primary) {
-		return
-	}
 	for target, member := range record.Members {
-		if target == record.Primary || leader.recentlyRegistered(now, target) {
+		if target == record.Primary || target == record.Candidate || leader.recentlyRegistered(now, target) {
 			continue
 		}
-		if health, ok := group.health[target]; !ok || health.SilentFor < registrationTTL {
+		if leader.targetLeases.Lease(target) != nil && group.health[target].SilentFor < registrationTTL {
 			continue
 		}
 		c := command{DeregisterTarget: &deregisterTarget{Service: service, Target: target, StartedMs: member.StartedMs}}
