transport: let TestRelayRefusesTruthfully wait for the lost connection

Cause: after the server was closed, the relay had not yet seen that its connection had ended. It passed the request on into that connection, so that MayHaveRun, the answer, was true: the relay can't know that nothing arrived. Traced by the error of the failing runs: "stream 12 canceled by remote with error code 1", which the relay sends only after it has opened a stream to the server; one that it couldn't reach gives "request refused". The test took the connection for lost at once. Change: the test waits until the relay has no open connection to the server, and asks for NotRun as before.

--- a/internal/transport/relay_test.go
+++ b/internal/transport/relay_test.go
@@ -62,6 +62,9 @@
 	r.server.RefuseNewStreams()
 	is.Equal(verdict.Of(call(wire.KindProbe)), verdict.NotRun) // refused by the server
 	is.NoErr(r.server.Close())
+	for r.relay.Connected(r.server.Addr()) { // until then the relay passes the request on, into a closed connection
+		time.Sleep(time.Millisecond)
+	}
 	is.Equal(verdict.Of(call(wire.KindProbe)), verdict.NotRun) // not reached by the relay
 }
 
