agent: keep the hosts of TestNoDetour cut off

Cause: the test replaces the addresses of the control host at one agent after the other. A reply to a renewal that is under way, or that comes through an agent which isn't cut off yet, names the control host again, so that the agent isn't cut off: a fault of the test only. Seen with each change of the addresses logged: replies named the control host again. Change: the test closes the connections to the control host, and takes the addresses away again, until no reply has named it and no agent has been confirmed for a renewal interval; its assertions are the same.

--- a/internal/agent/detour_test.go
+++ b/internal/agent/detour_test.go
@@ -42,6 +42,23 @@
 	a.Agent.mu.Unlock()
 }
 
+// keepCutOff waits until no reply names the control host to the agents again: one to a renewal that was under way when an
+// agent was cut off, or that came through another agent which wasn't yet.
+func (c *cluster) keepCutOff(t *testing.T, agents ...*testAgent) {
+	eventually(t, "the agents are cut off", func() bool {
+		cutOff := true
+		for _, a := range agents {
+			a.Transport.CloseConn(c.addr)
+			a.Agent.mu.Lock()
+			named := a.leaderAddr == c.addr || slices.Contains(a.advertisedControlAddrs, c.addr)
+			a.advertisedControlAddrs, a.leaderAddr = nil, ""
+			a.Agent.mu.Unlock()
+			cutOff = cutOff && !named && a.ConfirmedAge() >= renewalInterval
+		}
+		return cutOff
+	})
+}
+
 // Guards against a host whose callers are refused while it is cut off from the control hosts, although other entry hosts
 // reach them.
 func TestDetour(t *testing.T) {
@@ -88,6 +105,7 @@
 	cut := c.agents[0]
 	eventually(t, "all hosts renew", func() bool { return cut.ConfirmedAge() < renewalInterval })
 	c.cutOff(t, cut)
+	c.keepCutOff(t, cut)
 	time.Sleep(4 * renewalInterval)
 	is.True(cut.ConfirmedAge() >= 3*renewalInterval)
 
@@ -96,6 +114,7 @@
 	for _, a := range all.agents {
 		all.cutOff(t, a)
 	}
+	all.keepCutOff(t, all.agents...)
 	time.Sleep(4 * renewalInterval)
 	for _, a := range all.agents {
 		is.True(a.ConfirmedAge() >= 2*renewalInterval)
