--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -353,7 +353,7 @@
 	})
 	r, err := c.agents[0].Change(t.Context(), catalog.Change{ID: "x"})
 	is.NoErr(err)
-	is.Equal(droppedReplies, 3)
+	c.log.locked(func() { is.Equal(droppedReplies, 3) })
 	is.Equal(r, catalog.Result{Code: catalog.CodeAccepted, Revision: 1})
 
 	c.log.locked(func() { c.log.quorumLost = true })
