--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -36,6 +36,7 @@
 		return s.inspect(t.Context(), "s", s.Machine.Group("s"), nil, false).Order.Target != ""
 	}
 	is.Equal(settle(), 1) // neither a nor b has what l had
+	is.Equal(s.groupStatus(leader, clk.Now(), "s").Departed, []string{"l"})
 	targets.unreachable["p"] = true
 	is.True(!chooses())
 	targets.unreachable["p"] = false
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -72,6 +72,9 @@
 		}
 		items = append(items, item)
 	}
+	for _, name := range s.Departed {
+		items = append(items, name+" departed")
+	}
 	return strings.Join(items, ", ")
 }
 
