--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -76,8 +76,8 @@
 		ticksSinceLeader:   ElectionMaxTicks,
 		persistedHardState: cfg.Hard,
 	}
-	if cfg.Hard.Term <= cfg.Snapshot.Term && len(cfg.Entries) == 0 {
-		n.ticksSinceStart = LeaseTicks // this member has never received a message from a leader
+	if cfg.Snapshot.Index <= 1 && cfg.Hard.Term <= cfg.Snapshot.Term && len(cfg.Entries) == 0 {
+		n.ticksSinceStart = LeaseTicks // at most its bootstrap is on disk: this member has never received a message from a leader
 	}
 	n.log.reset(cfg.Snapshot.Index, cfg.Snapshot.Term)
 	for i, e := range cfg.Entries {
--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -100,6 +100,20 @@
 	}
 }
 
+// Guards against a member whose log ends at its snapshot and that grants a vote right after its restart, although it may have
+// acknowledged a heartbeat of the term of that snapshot just before: the leader's read lease may still be valid.
+func TestNoVoteRightAfterSnapshot(t *testing.T) {
+	is := is.New(t)
+	for _, snapshot := range []Snapshot{{Index: 40, Term: 3}, {Index: 1, Term: 1}} {
+		snapshot.Members = []Member{{ID: 1, Addr: "a"}, {ID: 2, Addr: "b"}, {ID: 3, Addr: "c"}}
+		n, err := New(Config{ID: 1, Seed: 1, Hard: HardState{Term: snapshot.Term}, Snapshot: snapshot})
+		is.NoErr(err)
+		is.NoErr(n.Step(Message{Kind: MsgVote, From: 2, To: 1, Term: snapshot.Term + 1, Index: 50, LogTerm: snapshot.Term}))
+		granted := len(drain(n)) > 0
+		is.Equal(granted, snapshot.Index == 1) // after its bootstrap a member has had no leader
+	}
+}
+
 // Guards against a member that grants a vote right after its restart, although it may have acknowledged a
 // heartbeat of another leader, and thereby extended its lease, just before.
 func TestRestartedMemberIgnoresVoteRequests(t *testing.T) {
