control: go on after an order for another target only once it is accepted

Cause: an order without an answer may be carried out later. If the next order names another target, also the present primary in order to end the first, it counted as carried out once that target said that it is the primary, although the platform might not have seen its token: the first order could still be carried out and take the commits since along. Change: while orders for different targets are pending, an order without an answer is repeated with the next token instead of being confirmed by the target's role. Result: TestOtherPendingOrderIsFenced failed before (the service went on at once); it passes.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -22,6 +22,8 @@
 	// Departed are the replicas that have left, or are lost, and may have had acknowledged commits that no member has
 	// except the primary. They get no work.
 	Departed map[string]GroupMember `cbor:"7,keyasint,omitempty"`
+	// Contested is set while orders for different targets are pending.
+	Contested bool `cbor:"8,keyasint,omitempty"`
 }
 
 // GroupMember is a registered target of a deployed service.
@@ -208,6 +210,7 @@
 	if cmd.LeaderTerm != m.leaderTerm || cmd.Token != group.Token+1 {
 		return errStale
 	}
+	group.Contested = group.Contested || group.Candidate != "" && group.Candidate != cmd.Target
 	group.Token = cmd.Token
 	group.Candidate, group.CandidateReceived = cmd.Target, cmd.Received
 	store()
@@ -226,7 +229,7 @@
 		return errStale
 	}
 	group.Primary = cmd.Target
-	group.Candidate, group.CandidateReceived = "", position.Position{}
+	group.Candidate, group.CandidateReceived, group.Contested = "", position.Position{}, false
 	store()
 	return nil
 }
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -22,6 +22,7 @@
 	paused      map[string]bool
 	behind      map[string]bool // replicas that have received less than the primary
 	resumes     int
+	unanswered  bool // orders get no answer and have no effect
 }
 
 func (c *groupControl) State(_ context.Context, t TargetRef) (TargetState, error) {
@@ -61,6 +62,9 @@
 func (c *groupControl) Promote(_ context.Context, o PromotionOrder) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.unanswered {
+		return errOutcomeUnknown
+	}
 	c.primary = o.Target
 	clear(c.paused)
 	return nil
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -300,7 +300,8 @@
 }
 
 // orderPromotion commits the next fencing token and the candidate, and then sends the promotion order.
-// refused is true if the order will certainly not be carried out.
+// refused is true if the order will certainly not be carried out, or if it wasn't accepted although an order for another
+// target is pending: until the platform has seen the new token, that one may be carried out.
 func (s *Server) orderPromotion(ctx context.Context, leader *leaderState, service string, record Group, choice promotion.Pending) (refused bool) {
 	token := record.Token + 1
 	c := command{OrderPromotion: &orderPromotion{LeaderTerm: leader.term, Service: service, Token: token, Target: choice.Target, Received: choice.Received}}
@@ -314,7 +315,7 @@
 	err := s.TargetControl.Promote(ctx, PromotionOrder{Service: service, Target: choice.Target, Token: token, Confirm: confirm})
 	countPromotionOrder(err)
 	_ = level.Info(s.Logger).Log("msg", "promotion ordered", "service", service, "target", choice.Target, "token", token, "err", err)
-	return err != nil && verdict.Of(err) == verdict.NotRun
+	return err != nil && (verdict.Of(err) == verdict.NotRun || s.Machine.Group(service).Contested)
 }
 
 // confirmLeadership returns an error with the verdict NotRun unless this member still leads in the term of leader.
--- a/internal/control/promote_test.go
+++ b/internal/control/promote_test.go
@@ -13,6 +13,29 @@
 	"github.com/citronrun/citronrun/internal/promotion"
 )
 
+// Guards against an order without an answer that is carried out late, after the service has gone on with another primary: an
+// order for that one must have been accepted before, so that the platform refuses the earlier one.
+func TestOtherPendingOrderIsFenced(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	targets := &groupControl{primary: "p", unreachable: map[string]bool{"a": true}, paused: map[string]bool{}, behind: map[string]bool{"b": true}, unanswered: true}
+	s, leader := newGroupServer(t, clk, targets)
+	for _, member := range s.Log.(testMember).consensus.members {
+		is.Equal(apply(t, member.Machine, 100, command{OrderPromotion: &orderPromotion{LeaderTerm: 5, Service: "s", Token: 1, Target: "a"}}), nil)
+	}
+	serving := func() bool {
+		for range 3 {
+			s.step(leader)
+			clk.Advance(time.Second)
+		}
+		return s.Machine.Group("s").Candidate == "" && leader.groups["s"].promotion.Serving()
+	}
+	is.True(!serving()) // the order for a may still be carried out
+	targets.unanswered = false
+	is.True(serving())
+	is.Equal(s.Machine.Group("s").Primary, "p")
+}
+
 // slowControl is a TargetControl whose connection to the platform opens only after opened has run.
 type slowControl struct {
 	TargetControl
