control: confirm leadership directly before a replica is paused

Cause: a leader that is suspended between the query of a replica and its pause sends the pause when it wakes up, also if a successor has resumed the replica meanwhile, and doesn't resume it any more. Change: Pause calls a function that confirms leadership, like an order of a promotion, once the connection is open and the replica has answered.

--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -33,7 +33,7 @@
 		return len(s.Machine.Group("s").Departed)
 	}
 	chooses := func() bool {
-		return s.inspect(t.Context(), "s", s.Machine.Group("s"), nil, false).Order.Target != ""
+		return s.inspect(t.Context(), leader, "s", s.Machine.Group("s"), nil, false).Order.Target != ""
 	}
 	is.Equal(settle(), 1) // neither a nor b has what l had
 	is.Equal(s.groupStatus(leader, clk.Now(), "s").Departed, []string{"l"})
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -38,9 +38,12 @@
 	return TargetState{Primary: t.Target == c.primary, Term: 1, Received: received}, nil
 }
 
-func (c *groupControl) Pause(ctx context.Context, t TargetRef) (TargetState, error) {
+func (c *groupControl) Pause(ctx context.Context, t TargetRef, confirm func(context.Context) error) (TargetState, error) {
 	state, err := c.State(ctx, t)
 	if err == nil && !state.Primary {
+		if err := confirm(ctx); err != nil {
+			return TargetState{}, err
+		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.paused[t.Target] = true
@@ -117,7 +120,7 @@
 	s, leader := newGroupServer(t, clk, targets)
 	record := s.Machine.Group("s")
 	is.NoErr(s.recordPaused(t.Context(), leader, "s", true))
-	s.inspect(t.Context(), "s", record, nil, false)
+	s.inspect(t.Context(), leader, "s", record, nil, false)
 	is.Equal(len(targets.paused), 2)
 
 	leader = takeOver(s) // the leader that paused them is lost
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -50,8 +50,9 @@
 	// State queries the state of a target.
 	State(ctx context.Context, t TargetRef) (TargetState, error)
 	// Pause makes a replica receive nothing more until Resume, its promotion or its restart, and returns
-	// its state after that point. On a primary it only returns the state.
-	Pause(ctx context.Context, t TargetRef) (TargetState, error)
+	// its state after that point. On a primary it only returns the state. Directly before the replica is paused it calls
+	// confirm, whose error it returns: a later leader may have resumed the replica.
+	Pause(ctx context.Context, t TargetRef, confirm func(context.Context) error) (TargetState, error)
 	// Resume ends a pause.
 	Resume(ctx context.Context, t TargetRef) error
 	// Promote orders a promotion. An error with verdict NotRun means that the order will never be
@@ -177,7 +178,7 @@
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
 			var d promotion.Decision
 			if record.Paused || s.recordPaused(ctx, leader, service, true) == nil {
-				d = s.inspect(ctx, service, record, leaving, commitsStalled)
+				d = s.inspect(ctx, leader, service, record, leaving, commitsStalled)
 			}
 			return func() {
 				group.choice = d.Order
@@ -246,7 +247,7 @@
 }
 
 // inspect pauses the replicas, queries the state of the primary, and decides what follows.
-func (s *Server) inspect(ctx context.Context, service string, record Group, leaving map[string]bool, commitsStalled bool) promotion.Decision {
+func (s *Server) inspect(ctx context.Context, leader *leaderState, service string, record Group, leaving map[string]bool, commitsStalled bool) promotion.Decision {
 	inspection := promotion.Inspection{
 		Primary: record.Primary, Pending: promotion.Pending{Target: record.Candidate, Received: record.CandidateReceived},
 		SyncReplicas: s.syncReplicas(service), Departed: len(record.Departed), CommitsStalled: commitsStalled,
@@ -271,9 +272,12 @@
 			inspection.Reports = append(inspection.Reports, r)
 		})
 	}
+	pause := func(ctx context.Context, t TargetRef) (TargetState, error) {
+		return s.TargetControl.Pause(ctx, t, func(ctx context.Context) error { return s.confirmLeadership(ctx, leader) })
+	}
 	for target := range record.Members {
 		if target != record.Primary {
-			inspectTarget(target, inspectTimeout, s.TargetControl.Pause)
+			inspectTarget(target, inspectTimeout, pause)
 		}
 	}
 	if _, ok := record.Members[record.Primary]; ok {
