--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -209,11 +209,11 @@
 	case promotion.RecordPrimary:
 		choice := group.promotion.OrderedTarget()
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
-			promotion := &recordPromotion{LeaderTerm: leader.term, Service: service, Token: record.Token, Target: choice}
+			c := &recordPromotion{LeaderTerm: leader.term, Service: service, Token: record.Token, Target: choice}
 			if record.Candidate == "" {
-				promotion.Succeeds = record.Primary
+				c.Succeeds = record.Primary
 			}
-			err := s.propose(ctx, command{RecordPromotion: promotion})
+			err := s.propose(ctx, command{RecordPromotion: c})
 			if err == nil && record.Candidate != "" {
 				promotions.Inc()
 			}
