control: let an operator forget a lost replica of a deployed service

Cause: a service whose primary is lost for good together with a replica that may have commits that the others lack waits for ever; `citronctl forget` knew services of the catalog only. Change: forget removes a target of a deployed service, a departed one too, unless it is the recorded primary. Result: TestForgottenReplicaDoesNotCount failed before (not a member of the service); it passes.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -75,7 +75,7 @@
 	Member  Member `cbor:"3,keyasint"`
 }
 
-// removeTarget removes a target from a catalog service. The target becomes a member again if it announces
+// removeTarget removes a target from a service. The target becomes a member again if it announces or registers
 // itself later.
 type removeTarget struct {
 	Service string `cbor:"1,keyasint"`
@@ -245,7 +245,7 @@
 func (m *Machine) removeTarget(cmd *removeTarget) error {
 	s, store := m.editService(cmd.Service)
 	if _, ok := s.Members[cmd.Target]; !ok {
-		return errNotTargetOfService
+		return m.forgetGroupTarget(cmd)
 	}
 	if s.Primary == cmd.Target {
 		return errIsPrimary
--- a/internal/control/departed.go
+++ b/internal/control/departed.go
@@ -32,6 +32,25 @@
 	return nil
 }
 
+// forgetGroupTarget removes a target that is lost for good from a deployed service, so that promotions no longer count it.
+// Commits that only it and the primary have may be lost.
+func (m *Machine) forgetGroupTarget(cmd *removeTarget) error {
+	group, store := m.editGroup(cmd.Service)
+	_, isMember := group.Members[cmd.Target]
+	_, hasDeparted := group.Departed[cmd.Target]
+	if !isMember && !hasDeparted {
+		return errNotTargetOfService
+	}
+	if cmd.Target == group.Primary {
+		return errIsPrimary
+	}
+	delete(group.Members, cmd.Target)
+	delete(group.Departed, cmd.Target)
+	delete(m.targetHolders, cmd.Target)
+	store()
+	return nil
+}
+
 // stepDeparted settles the departed targets of a service in its steady state. Server.mu must be held.
 func (s *Server) stepDeparted(leader *leaderState, now time.Time, service string) {
 	record := s.Machine.Group(service)
--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -51,6 +51,32 @@
 	is.True(chooses())
 }
 
+// Guards against a service that waits for ever for its primary, which is lost for good together with a replica that may have
+// commits that the others lack, although an operator accepts the loss.
+func TestForgottenReplicaDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	targets := &groupControl{primary: "p", unreachable: map[string]bool{"p": true, "a": true}, paused: map[string]bool{}}
+	s, leader := newGroupServer(t, clk, targets)
+	s.leader = leader
+	chosen := func() string {
+		return s.inspect(t.Context(), leader, "s", s.Machine.Group("s"), nil, false).Order.Target
+	}
+	forget := func(service, target string) error {
+		_, err := s.executeAdmin(t.Context(), &wire.AdminRequest{Op: wire.AdminForget, Service: service, Target: target})
+		return err
+	}
+	is.Equal(chosen(), "")
+	_, err := s.deregisterTarget(t.Context(), leader, &wire.Registration{Target: "a", Terminating: true})
+	is.NoErr(err)
+	is.Equal(chosen(), "")
+	is.Equal(forget("s", "p"), errIsPrimary)
+	is.Equal(forget("s", "x"), errNotTargetOfService)
+	is.Equal(forget("other", "a"), errNotTargetOfService)
+	is.NoErr(forget("s", "a"))
+	is.Equal(chosen(), "b")
+}
+
 // Guards against a replica that is lost for good and stays a member, because a promotion was under way or no host had its
 // lease, and against the removal of a replica that answers the holder of its lease or has registered.
 func TestLostReplicaIsRemoved(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -368,7 +368,7 @@
 	AdminDrain        AdminOp = "drain"         // moves the services and target leases of Host to other hosts
 	AdminMemberAdd    AdminOp = "member-add"    // adds the consensus member Member at Addr
 	AdminMemberRemove AdminOp = "member-remove" // removes the consensus member Member
-	AdminForget       AdminOp = "forget-target" // removes Target from the members of the catalog service Service
+	AdminForget       AdminOp = "forget-target" // removes Target, which is lost for good, from Service
 )
 
 // AdminRequest is an operator's request to the leader.
