control: release a leaving replica while it still runs

A primary was lost for good while a replaced one was about to leave. Cause: the replica that had left counted as departed, and could be settled only with the help of the primary. On the platform it doesn't answer any more when its leave arrives, so that what it had can't be asked then. Evidence: "target gone target=i-2c6988ed7d" at 16.81 s, the primary refuses connections from 16.57 s on, "promotion considered choice=" every 0.3 s to the end, both other replicas paused at the same position 2/267. A trial that paused the replica when its leave arrived changed nothing: "received=0/0". Change: once a leaving replica gets no more work, it is paused; if as many of the others as acknowledge a commit have all that it has, it is recorded as released, and no longer counts; otherwise it is resumed. Why it is safe: a paused replica acknowledges nothing more. The release is revoked by a promotion, which ends the pause, and by a new process; it is resumed only after it has been recorded that it isn't released.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -28,6 +28,7 @@
 	AssignHolder     *assignHolder     `cbor:"12,keyasint,omitempty"`
 	PauseGroup       *pauseGroup       `cbor:"13,keyasint,omitempty"`
 	SettleDeparted   *settleDeparted   `cbor:"14,keyasint,omitempty"`
+	ReleaseTarget    *releaseTarget    `cbor:"15,keyasint,omitempty"`
 }
 
 // barrier is the first command that a new leader commits. The leader grants nothing before the barrier
@@ -149,6 +150,8 @@
 		return m.pauseGroup(c.PauseGroup)
 	case c.SettleDeparted != nil:
 		return m.settleDeparted(c.SettleDeparted)
+	case c.ReleaseTarget != nil:
+		return m.releaseTarget(c.ReleaseTarget)
 	default:
 		return errors.New("command is empty, or its type is unknown to this version")
 	}
--- a/internal/control/departed.go
+++ b/internal/control/departed.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"github.com/citronrun/citronrun/internal/position"
 )
 
 // settleInterval is the time between two attempts to settle the departed targets of a service.
@@ -79,28 +81,11 @@
 	if len(gone) == 0 {
 		return
 	}
-	state := func(target string) (TargetState, error) {
-		ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
-		defer cancel()
-		return s.TargetControl.State(ctx, TargetRef{Service: service, Target: target, Addr: record.Members[target].Addr})
-	}
-	primary, err := state(record.Primary)
+	primary, err := s.stateOf(ctx, service, record, record.Primary)
 	if err != nil || !primary.Primary {
 		return
 	}
-	var wg sync.WaitGroup
-	var complete atomic.Int32
-	for target := range record.Members {
-		if target != record.Primary {
-			wg.Go(func() {
-				if r, err := state(target); err == nil && r.Received.Compare(primary.Received) >= 0 {
-					complete.Add(1)
-				}
-			})
-		}
-	}
-	wg.Wait()
-	if int(complete.Load()) < s.syncReplicas(service) {
+	if s.replicasWith(ctx, service, record, "", primary.Received) < s.syncReplicas(service) {
 		return
 	}
 	c := &settleDeparted{LeaderTerm: leader.term, Service: service, Primary: record.Primary, Targets: gone}
@@ -108,6 +93,31 @@
 	_ = level.Info(s.Logger).Log("msg", "departed targets settled", "service", service, "targets", len(gone), "received", primary.Received, "err", err)
 }
 
+func (s *Server) stateOf(ctx context.Context, service string, record Group, target string) (TargetState, error) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	return s.TargetControl.State(ctx, TargetRef{Service: service, Target: target, Addr: record.Members[target].Addr})
+}
+
+// replicasWith returns the number of replicas, without one, that answer and have received a position. Released ones, which
+// will be gone soon, aren't counted.
+func (s *Server) replicasWith(ctx context.Context, service string, record Group, without string, wanted position.Position) int {
+	var wg sync.WaitGroup
+	var count atomic.Int32
+	for target, member := range record.Members {
+		if target == record.Primary || target == without || member.Released {
+			continue
+		}
+		wg.Go(func() {
+			if r, err := s.stateOf(ctx, service, record, target); err == nil && r.Received.Compare(wanted) >= 0 {
+				count.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(count.Load())
+}
+
 // departedAndGone returns the departed targets that don't answer any more at the address that they had.
 func (s *Server) departedAndGone(ctx context.Context, service string, record Group) []string {
 	var wg sync.WaitGroup
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -33,6 +33,8 @@
 	Slots     int    `cbor:"3,keyasint"`
 	StartedMs uint64 `cbor:"4,keyasint"`           // start time of the target process, Unix time in ms
 	Leaving   bool   `cbor:"5,keyasint,omitempty"` // this process has reported that it is leaving
+	// Released replicas are leaving and paused, and the others have received all that they have: they no longer count.
+	Released bool `cbor:"6,keyasint,omitempty"`
 }
 
 func (g Group) promotionRecord() promotion.Record {
@@ -171,6 +173,7 @@
 	member := cmd.Member
 	if old := group.Members[cmd.Target]; old.StartedMs == member.StartedMs {
 		member.Leaving = member.Leaving || old.Leaving // a late registration doesn't revoke it
+		member.Released = old.Released
 	}
 	group.Members[cmd.Target] = member
 	delete(group.Departed, cmd.Target)
@@ -178,10 +181,10 @@
 	return nil
 }
 
-// deleteTarget removes a target and its recorded holder. A replica is recorded as departed.
+// deleteTarget removes a target and its recorded holder. A replica is recorded as departed unless it was released.
 func (m *Machine) deleteTarget(service, target string) {
 	group, store := m.editGroup(service)
-	if target != group.Primary {
+	if target != group.Primary && !group.Members[target].Released {
 		if group.Departed == nil {
 			group.Departed = map[string]GroupMember{}
 		}
@@ -228,6 +231,10 @@
 	if group.Candidate == "" && !isFirst && !succeeds || group.Candidate != "" && cmd.Target != group.Candidate {
 		return errStale
 	}
+	for target, member := range group.Members { // a promotion ends all pauses
+		member.Released = false
+		group.Members[target] = member
+	}
 	group.Primary = cmd.Target
 	group.Candidate, group.CandidateReceived, group.Contested = "", position.Position{}, false
 	store()
--- a/internal/control/pause.go
+++ b/internal/control/pause.go
@@ -44,7 +44,7 @@
 	var wg sync.WaitGroup
 	var failed atomic.Bool
 	for target, member := range record.Members {
-		if target == record.Primary {
+		if target == record.Primary || member.Released {
 			continue
 		}
 		wg.Go(func() {
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -275,8 +275,8 @@
 	pause := func(ctx context.Context, t TargetRef) (TargetState, error) {
 		return s.TargetControl.Pause(ctx, t, func(ctx context.Context) error { return s.confirmLeadership(ctx, leader) })
 	}
-	for target := range record.Members {
-		if target != record.Primary {
+	for target, member := range record.Members {
+		if target != record.Primary && !member.Released {
 			inspectTarget(target, inspectTimeout, pause)
 		}
 	}
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -60,6 +60,7 @@
 	steadySince   time.Time               // when it last returned to it, or createdAt
 	actionRunning bool                    // a promotion action is running in the background
 	resumeRetryAt time.Time               // when replicas that may be paused are resumed again
+	releaseAt     time.Time               // when a leaving replica may be released next
 	settling      bool                    // departed targets are being settled in the background
 	settleAt      time.Time               // when that is tried again
 	choice        promotion.Pending       // of the last inspection
@@ -132,7 +133,9 @@
 	}
 	member := GroupMember{Addr: req.Addr, Place: req.Place, Slots: req.Slots, StartedMs: req.StartedMs, Leaving: req.Leaving}
 	known, ok := s.Machine.Group(req.Service).Members[req.Target]
-	member.Leaving = member.Leaving || known.Leaving && known.StartedMs == req.StartedMs
+	if known.StartedMs == req.StartedMs {
+		member.Leaving, member.Released = member.Leaving || known.Leaving, known.Released
+	}
 	if !ok || known != member {
 		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 		defer cancel()
@@ -295,6 +298,7 @@
 		s.stepPromotion(leader, now, service)
 		s.removeExpiredReplicas(leader, now, service)
 		s.stepDeparted(leader, now, service)
+		s.stepRelease(leader, now, service)
 	}
 	s.sendPendingBroadcast(leader)
 }
