control: take the release of a replica from the record only

Cause: a registration carried whether its replica is released, as the leader had read it, into a record that might have lost the replica meanwhile. Seen on reading the code again. Change: only the record of the same process decides.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -166,11 +166,12 @@
 				m.deleteTarget(service, name)
 				continue
 			}
-			delete(group.Members, name)
+			delete(group.Members, name) // not departed: the process at its address has its log
 			delete(m.targetHolders, name)
 		}
 	}
 	member := cmd.Member
+	member.Released = false
 	if old := group.Members[cmd.Target]; old.StartedMs == member.StartedMs {
 		member.Leaving = member.Leaving || old.Leaving // a late registration doesn't revoke it
 		member.Released = old.Released
