routing: don't acknowledge a position of an earlier term

Cause: QuorumPosition returned whatever position a majority had received, also one that was written in an earlier term. After several elections in a row a target outside of that majority may hold a later position of a term in between; an election among others prefers it, and the acknowledged position is lost.

Change: a position counts as received by a majority only if it is of the group's term. A new primary writes a record in its term first, so that everything before it counts as soon as a majority has that record.

The owner's commits are always of the current term, so callers wait no longer.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -218,7 +218,8 @@
 
 // QuorumPosition returns the highest position that a majority has received at the group's term. The primary
 // counts as having received its own log. ok is false if fewer than a majority are known to be at the
-// term.
+// term, or if the position was written in an earlier term: a target that isn't among them may then have a
+// later position of a term in between, and Candidate would prefer it to the majority.
 func (g *Group) QuorumPosition(primary string) (p position.Position, ok bool) {
 	var received []position.Position
 	for _, t := range g.Targets {
@@ -233,7 +234,11 @@
 		return position.Position{}, false
 	}
 	sort.Slice(received, func(i, j int) bool { return received[i].Compare(received[j]) > 0 })
-	return received[g.Majority()-1], true
+	p = received[g.Majority()-1]
+	if p.Term < g.Term {
+		return position.Position{}, false
+	}
+	return p, true
 }
 
 // HighestReceived returns the highest position received by the targets that replied to a status request sent
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -146,6 +146,29 @@
 	})
 }
 
+// Guards against the acknowledgement of a position of an earlier term: c, which isn't among the majority that has it, holds
+// a later position of the term in between, so that a later election would choose c and drop the position.
+func TestEarlierTermIsNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	g := Group{Term: 4, Databases: 5, Targets: map[string]*Target{}, PrimarySamples: NewSamples(4)}
+	for name, received := range map[string]position.Position{
+		"a": {Term: 2, Offset: 2}, "b": {Term: 2, Offset: 2}, "c": {Term: 3, Offset: 2}, "d": {Term: 4, Offset: 3}, "e": {},
+	} {
+		g.Targets[name] = &Target{Name: name, Role: RoleReplica, Term: 4, Received: received, StatusSentAt: at(1), StatusReceivedAt: at(1)}
+	}
+	g.Targets["c"].Role, g.Targets["c"].Term = RolePrimary, 3
+	g.Targets["d"].Role = RolePrimary
+	g.Targets["e"].Term = 1
+	_, ok := g.QuorumPosition("d")
+	is.True(!ok)
+	for _, name := range []string{"a", "b"} { // they have received the first record of term 4
+		g.Targets[name].Received = position.Position{Term: 4, Offset: 3}
+	}
+	p, ok := g.QuorumPosition("d")
+	is.True(ok)
+	is.Equal(p, position.Position{Term: 4, Offset: 3})
+}
+
 // Guards against a majority that is computed from the registered targets instead of the configured number, and
 // against two disjoint majorities while a replacement of a target is registered beside it.
 func TestMajority(t *testing.T) {
