catalog: orders to empty or refill a place

Cause: operators may ask that nothing more be sent to the targets of a place, and withdraw that. No part of the product knew of it. Change: the catalog records for each place whether it is emptied and how many orders were accepted. Orders have no version; a copy that is delayed on its way is recognised by the number of orders that its host knew of when it received it.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -53,11 +53,14 @@
 
 // Apply applies a change and returns its result. A change that was decided before, with the same id and content,
 // gets its stored result; a different change with a known id is invalid. Changes of the deployment are ordered by
-// their version instead, and their ids are ignored. A change that isn't accepted leaves the catalog unchanged.
+// their version instead, and those of places by their base; their ids are ignored. A change that isn't accepted leaves the catalog unchanged.
 func (m *Machine) Apply(c Change) Result {
 	if c.Deployment != nil {
 		return m.applyDeployment(c.Deployment)
 	}
+	if c.Place != nil {
+		return m.applyPlace(c.Place)
+	}
 	digest := c.digest()
 	if stored, ok := m.results[c.ID]; ok {
 		if stored.Digest != digest {
@@ -188,5 +191,6 @@
 		Policies: maps.Clone(c.Policies),
 
 		Deployment: c.Deployment,
+		Places:     maps.Clone(c.Places),
 	}
 }
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -22,6 +22,8 @@
 	Policies map[string]Policy  `cbor:"5,keyasint" json:"policies"`
 	// Deployment is versioned on its own; nil: none.
 	Deployment *Deployment `cbor:"6,keyasint,omitempty" json:"deployment,omitempty"`
+	// Places holds the places that operators have emptied or refilled, by name.
+	Places map[string]Place `cbor:"7,keyasint,omitempty" json:"places,omitempty"`
 }
 
 // Team is a tenant. Its callers share its rate limit and its share of the targets.
@@ -111,6 +113,8 @@
 	// Deployment, if set, replaces the current deployment provided that its version is higher. ID, Base
 	// and Ops are ignored then. A resend is accepted without effect.
 	Deployment *Deployment `cbor:"6,keyasint,omitempty" json:"-"`
+	// Place, if set, empties or refills a place. ID, Base and Ops are ignored then.
+	Place *PlaceOrder `cbor:"7,keyasint,omitempty" json:"-"`
 }
 
 // Op is one operation. Exactly one field is set.
@@ -177,7 +181,7 @@
 // The outcomes of a change.
 const (
 	CodeAccepted Code = "accepted"
-	CodeConflict Code = "conflict" // Base is not the current revision
+	CodeConflict Code = "conflict" // Base is not the current revision, or not that of a place
 	CodeInvalid  Code = "invalid"  // Field and Message say why
 )
 
