control, holder, gateway: send nothing to targets in emptied places

Cause: see the catalog's orders. Every path that picks a target has to obey them, and primaries have to move. Change: gateways choose no target in an emptied place and refuse at once if a service has no other.

--- a/internal/admin/changes.go
+++ b/internal/admin/changes.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronrun/citronrun/internal/auth"
 	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/wire"
 )
 
 const (
@@ -45,6 +46,34 @@
 	writeJSON(w, httpStatus(res.Code), res)
 }
 
+// orderPlace returns the handler of the orders that empty a place, or refill it. An order that conflicts with one that this
+// host didn't know of gets the status 409, and may be sent again.
+func (s *Server) orderPlace(empty bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		place := r.PathValue("place")
+		snap := s.cfg.Backend.Catalog()
+		if err := wire.CheckName("place", place); err != nil {
+			writeError(w, http.StatusBadRequest, codeBadRequest, err.Error())
+			return
+		}
+		if snap == nil {
+			writeError(w, http.StatusServiceUnavailable, codeUnavailable, "no catalog received from the control leader yet")
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		order := &catalog.PlaceOrder{Place: place, Emptied: empty, Base: snap.Catalog().Places[place].Orders}
+		c := catalog.Change{Place: order, Operator: operatorName(r.Context())}
+		res, err := s.cfg.Backend.Change(ctx, c)
+		if err != nil {
+			writeError(w, http.StatusServiceUnavailable, codeOutcomeUnknown, "outcome of the order is unknown, send it again: "+err.Error())
+			return
+		}
+		s.logChange(c, res)
+		writeJSON(w, httpStatus(res.Code), res)
+	}
+}
+
 func httpStatus(code catalog.Code) int {
 	switch code {
 	case catalog.CodeAccepted:
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -85,6 +85,8 @@
 	mux.HandleFunc("GET /v1/catalog", s.requireOperator(s.catalog))
 	mux.HandleFunc("GET /v1/watch", s.requireOperator(s.watch))
 	mux.HandleFunc("POST /v1/changes", s.requireOperator(s.change))
+	mux.HandleFunc("POST /v1/places/{place}/empty", s.requireOperator(s.orderPlace(true)))
+	mux.HandleFunc("POST /v1/places/{place}/refill", s.requireOperator(s.orderPlace(false)))
 	mux.HandleFunc("POST /v1/announce", s.requireOperator(s.announce))
 	s.addLeaderRoutes(mux)
 	return mux
--- a/internal/control/departed.go
+++ b/internal/control/departed.go
@@ -60,7 +60,7 @@
 	if len(record.Departed) == 0 || group.promotion.State() != "steady" || group.settling || now.Before(group.settleAt) {
 		return
 	}
-	if _, ok := record.Members[record.Primary]; !ok {
+	if primary, ok := record.Members[record.Primary]; !ok || s.emptied(primary) {
 		return
 	}
 	group.settling, group.settleAt = true, now.Add(settleInterval)
@@ -100,12 +100,12 @@
 }
 
 // replicasWith returns the number of replicas, without one, that answer and have received a position. Released ones, which
-// will be gone soon, aren't counted.
+// will be gone soon, and those in emptied places, which are sent nothing, aren't counted.
 func (s *Server) replicasWith(ctx context.Context, service string, record Group, without string, wanted position.Position) int {
 	var wg sync.WaitGroup
 	var count atomic.Int32
 	for target, member := range record.Members {
-		if target == record.Primary || target == without || member.Released {
+		if target == record.Primary || target == without || member.Released || s.emptied(member) {
 			continue
 		}
 		wg.Go(func() {
--- a/internal/control/pause.go
+++ b/internal/control/pause.go
@@ -39,12 +39,13 @@
 	return err
 }
 
-// resumeReplicas resumes the replicas of a service, and reports whether all have answered.
-func (s *Server) resumeReplicas(ctx context.Context, service string, record Group) bool {
+// resumeReplicas resumes the replicas of a service, and reports whether all have answered. It leaves out those in emptied
+// places unless they may be paused.
+func (s *Server) resumeReplicas(ctx context.Context, service string, record Group, emptiedPaused bool) bool {
 	var wg sync.WaitGroup
 	var failed atomic.Bool
 	for target, member := range record.Members {
-		if target == record.Primary || member.Released {
+		if target == record.Primary || member.Released || !emptiedPaused && s.emptied(member) {
 			continue
 		}
 		wg.Go(func() {
--- /dev/null
+++ b/internal/control/places.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log/level"
+
+	"github.com/citronrun/citronrun/internal/catalog"
+)
+
+var placeOrders = metrics.NewCounter(`citron_control_place_orders_total`) // accepted orders to empty or refill a place
+
+// checkPlace returns an error if an order is for a place that neither the settings of the host that received it name, nor
+// any target or host belongs to.
+func (s *Server) checkPlace(o *catalog.PlaceOrder) error {
+	if o == nil || o.Declared {
+		return nil
+	}
+	for _, group := range s.Machine.Groups() {
+		for _, member := range group.Members {
+			if member.Place == o.Place {
+				return nil
+			}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader != nil {
+		for _, h := range s.leader.hosts {
+			if h.place == o.Place {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("%q does not exist: no settings, target or host names it", o.Place)
+}
+
+// placeOrdered lets all hosts learn of an accepted order, and starts the promotions that it requires.
+func (s *Server) placeOrdered(o *catalog.PlaceOrder) {
+	placeOrders.Inc()
+	_ = level.Info(s.Logger).Log("msg", "place ordered", "place", o.Place, "emptied", o.Emptied)
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader == nil || !s.leader.ready || s.TargetControl == nil {
+		return
+	}
+	for _, service := range s.Machine.GroupNames() {
+		s.stepPromotion(s.leader, now, service)
+	}
+	s.sendRenewNowToEntryHosts(s.leader)
+}
+
+// emptied reports whether a target is in an emptied place.
+func (s *Server) emptied(member GroupMember) bool {
+	view := s.Machine.Catalog()
+	return view.Catalog.PlaceEmptied(member.Place)
+}
+
+// givesWay reports whether the primary of a service is in an emptied place, and a replica elsewhere may take over. Without
+// one the primary stays: a promotion would only move it from one emptied place to another.
+func (s *Server) givesWay(leader *leaderState, now time.Time, record Group) bool {
+	primary, ok := record.Members[record.Primary]
+	return ok && s.emptied(primary) && s.hasOutside(leader, now, record)
+}
+
+// hasOutside reports whether a service has a replica outside of emptied places that may become the primary.
+func (s *Server) hasOutside(leader *leaderState, now time.Time, record Group) bool {
+	for target, member := range record.Members {
+		if target != record.Primary && !member.Released && !s.emptied(member) && leader.leavingSince(target).IsZero() && leader.recentlyRegistered(now, target) {
+			return true
+		}
+	}
+	return false
+}
+
+// mustBeIdle reports whether a target must have no lease because its place is emptied. A primary that gives way keeps its
+// lease until the promotion has ended: its holder then ends the work that needs it sooner than the lease would.
+func (s *Server) mustBeIdle(leader *leaderState, now time.Time, record Group, target string) bool {
+	if !s.emptied(record.Members[target]) {
+		return false
+	}
+	return target != record.Primary || leader.targetLeases.Lease(target) == nil || !s.givesWay(leader, now, record)
+}
+
+// giveWayAsLeaving returns the targets of a service that a promotion treats like leaving ones: those that are leaving, and
+// while there is a replica elsewhere, those in emptied places.
+func (s *Server) giveWayAsLeaving(leader *leaderState, now time.Time, record Group) map[string]bool {
+	leaving := map[string]bool{}
+	outside := s.hasOutside(leader, now, record)
+	for target, member := range record.Members {
+		leaving[target] = !leader.leavingSince(target).IsZero() || outside && s.emptied(member)
+	}
+	return leaving
+}
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -129,7 +128,7 @@
 	_, ok := record.Members[record.Primary]
 	r := leader.registrations[record.Primary]
 	in.PrimaryGone = !ok || r != nil && !r.Primary && r.receivedAt.Sub(group.steadySince) >= roleReportDelay
-	in.PrimaryLeaving = r != nil && r.Leaving || r == nil && !leader.leavingSince(record.Primary).IsZero()
+	in.PrimaryLeaving = r != nil && r.Leaving || r == nil && !leader.leavingSince(record.Primary).IsZero() || s.givesWay(leader, now, record)
 	in.PrimaryFree = leader.targetLeases.PrimaryFree(now, record.Primary)
 	if h, ok := group.health[record.Primary]; ok && now.Sub(h.receivedAt) < healthReportTTL {
 		in.HolderReportsSilence = h.SilentFor >= silenceLimit
@@ -170,10 +169,7 @@
 			leader.avoidUntil[hostTarget{targetLease.Host, record.Primary}] = now.Add(avoidDuration)
 		}
 	case promotion.Inspect:
-		leaving := map[string]bool{}
-		for target := range record.Members {
-			leaving[target] = !leader.leavingSince(target).IsZero()
-		}
+		leaving := s.giveWayAsLeaving(leader, now, record)
 		commitsStalled := group.health[record.Primary].CommitStall >= commitStallLimit
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
 			var d promotion.Decision
@@ -188,11 +184,13 @@
 	case promotion.Resume:
 		steady := group.promotion.State() == "steady" // otherwise they are paused again soon
 		group.resumeRetryAt = now.Add(resumeRetryInterval)
+		emptiedPaused := group.emptiedPaused
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
-			if s.resumeReplicas(ctx, service, record) && steady && record.Paused {
+			resumed := s.resumeReplicas(ctx, service, record, emptiedPaused)
+			if resumed && steady && record.Paused {
 				_ = s.recordPaused(ctx, leader, service, false) // tried again after resumeRetryInterval
 			}
-			return func() {}
+			return func() { group.emptiedPaused = group.emptiedPaused && !resumed }
 		})
 	case promotion.Order:
 		choice := group.choice
@@ -246,50 +244,6 @@
 	})
 }
 
-// inspect pauses the replicas, queries the state of the primary, and decides what follows.
-func (s *Server) inspect(ctx context.Context, leader *leaderState, service string, record Group, leaving map[string]bool, commitsStalled bool) promotion.Decision {
-	inspection := promotion.Inspection{
-		Primary: record.Primary, Pending: promotion.Pending{Target: record.Candidate, Received: record.CandidateReceived},
-		SyncReplicas: s.syncReplicas(service), Departed: len(record.Departed), CommitsStalled: commitsStalled,
-		Reports: make([]promotion.Report, 0, len(record.Members)),
-	}
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	inspectTarget := func(target string, timeout time.Duration, query func(context.Context, TargetRef) (TargetState, error)) {
-		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, timeout)
-			defer cancel()
-			targetState, err := query(ctx, TargetRef{Service: service, Target: target, Addr: record.Members[target].Addr})
-			r := promotion.Report{Target: target, Leaving: leaving[target]}
-			if err == nil {
-				r.Answered, r.Primary, r.Paused = true, targetState.Primary, !targetState.Primary
-				r.Term, r.Received = targetState.Term, targetState.Received
-			}
-			_ = level.Info(s.Logger).Log("msg", "target inspected", "service", service, "target", target,
-				"primary", targetState.Primary, "term", targetState.Term, "received", targetState.Received, "leaving", r.Leaving, "err", err)
-			mu.Lock()
-			defer mu.Unlock()
-			inspection.Reports = append(inspection.Reports, r)
-		})
-	}
-	pause := func(ctx context.Context, t TargetRef) (TargetState, error) {
-		return s.TargetControl.Pause(ctx, t, func(ctx context.Context) error { return s.confirmLeadership(ctx, leader) })
-	}
-	for target, member := range record.Members {
-		if target != record.Primary && !member.Released {
-			inspectTarget(target, inspectTimeout, pause)
-		}
-	}
-	if _, ok := record.Members[record.Primary]; ok {
-		inspectTarget(record.Primary, inspectPrimaryTimeout, s.TargetControl.State)
-	}
-	wg.Wait()
-	d := inspection.Decide()
-	_ = level.Info(s.Logger).Log("msg", "promotion considered", "service", service, "primary", record.Primary,
-		"candidate", record.Candidate, "choice", d.Order.Target, "still_primary", d.StillPrimary, "successor", d.Successor)
-	return d
-}
-
 func (s *Server) syncReplicas(service string) int {
 	d := s.Machine.Catalog().Catalog.Deployment
 	if d == nil {
--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -50,7 +50,7 @@
 		return
 	}
 	for target, member := range record.Members {
-		if target == record.Primary || member.Released || !s.drainTimeElapsed(leader, now, target) || leader.targetLeases.Lease(target) != nil {
+		if target == record.Primary || member.Released || s.emptied(member) || !s.drainTimeElapsed(leader, now, target) || leader.targetLeases.Lease(target) != nil {
 			continue
 		}
 		group.releaseAt = now.Add(releaseInterval)
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -31,6 +31,9 @@
 			return &wire.ChangeReply{Message: err.Error()}, nil
 		}
 	}
+	if err := s.checkPlace(change.Place); err != nil {
+		return changeReply(catalog.Result{Code: catalog.CodeInvalid, Revision: s.Machine.Catalog().Catalog.Revision, Field: "place", Message: err.Error()})
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	result, err := s.proposeForResult(ctx, command{Change: &change})
@@ -41,8 +44,16 @@
 	if !ok {
 		return &wire.ChangeReply{Message: fmt.Sprint(result)}, nil
 	}
+	if change.Place != nil && decision.Code == catalog.CodeAccepted {
+		s.placeOrdered(change.Place)
+	}
+	return changeReply(decision)
+}
+
+func changeReply(decision catalog.Result) (*wire.ChangeReply, error) {
 	countChange(string(decision.Code))
-	if data, err = wire.Marshal(decision); err != nil {
+	data, err := wire.Marshal(decision)
+	if err != nil {
 		return nil, fmt.Errorf("encode result: %w", err)
 	}
 	return &wire.ChangeReply{Result: data}, nil
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -19,6 +19,8 @@
 
 	Deployment uint64                 `json:"deployment_version,omitempty"`
 	Groups     map[string]GroupStatus `json:"groups,omitempty"` // deployed services
+
+	EmptiedPlaces []string `json:"emptied_places,omitempty"`
 }
 
 // GroupStatus describes a deployed service.
@@ -84,6 +86,8 @@
 		Hosts:    map[string]HostStatus{},
 		Services: map[string]ServiceStatus{},
 	}
+	view := s.Machine.Catalog()
+	status.EmptiedPlaces = view.Catalog.EmptiedPlaces()
 	if s.Members != nil {
 		status.Members = s.Members.Status()
 	}
--- a/internal/control/target_leases.go
+++ b/internal/control/target_leases.go
@@ -43,7 +43,8 @@
 			reply.TargetGrants = append(reply.TargetGrants, wire.TargetGrant{
 				Target: target, Epoch: epoch, Service: service.Name, Addr: member.Addr, Slots: max(member.Slots, 1),
 				Connections: max(service.Connections-reservedConnections, 1), Primary: primary,
-				Term: record.Token, // the fencing token of the last promotion order is the term of its primary
+				Term:  record.Token, // the fencing token of the last promotion order is the term of its primary
+				Place: member.Place,
 			})
 		}
 	}
@@ -192,7 +193,8 @@
 }
 
 // placeTargets assigns holders to the targets that have none. It stops renewing the lease of each target that
-// should move to another host, has been leaving for DrainTime, or whose service is no longer deployed.
+// should move to another host, has been leaving for DrainTime, or whose service is no longer deployed or whose
+// place is emptied.
 func (s *Server) placeTargets(leader *leaderState, now time.Time) {
 	hosts := leader.placementHosts(now)
 	if len(hosts) == 0 {
@@ -207,7 +209,7 @@
 	for _, service := range s.Machine.GroupNames() {
 		record := s.Machine.Group(service)
 		for target, member := range record.Members {
-			if !isDeployed(d, service) || s.drainTimeElapsed(leader, now, target) {
+			if !isDeployed(d, service) || s.drainTimeElapsed(leader, now, target) || s.mustBeIdle(leader, now, record, target) {
 				leader.targetLeases.Release(target)
 			} else if !leader.settled(now, summary, target, member) {
 				s.placeTarget(leader, now, hosts, target, member)
@@ -228,12 +230,13 @@
 	d := s.Machine.Catalog().Catalog.Deployment
 	recorded := s.Machine.TargetHolders()
 	for _, service := range s.Machine.GroupNames() {
-		for target, member := range s.Machine.Group(service).Members {
+		record := s.Machine.Group(service)
+		for target, member := range record.Members {
 			r := recorded[target]
 			h, ok := byName[r.Host]
 			switch {
 			case !ok, h.Draining, h.Place != member.Place, leader.avoids(now, h.Name, target):
-			case !isDeployed(d, service), s.drainTimeElapsed(leader, now, target):
+			case !isDeployed(d, service), s.drainTimeElapsed(leader, now, target), s.mustBeIdle(leader, now, record, target):
 			case leader.pendingAssignments[target], !leader.targetLeases.Free(now, target):
 			default:
 				s.assignHolder(leader, target, placement.Record{Host: h.Name, BootID: h.BootID, Epoch: leader.targetLeases.NextEpoch()})
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -63,6 +63,7 @@
 	releaseAt     time.Time               // when a leaving replica may be released next
 	settling      bool                    // departed targets are being settled in the background
 	settleAt      time.Time               // when that is tried again
+	emptiedPaused bool                    // replicas in emptied places may be paused
 	choice        promotion.Pending       // of the last inspection
 	health        map[string]targetHealth // by target
 }
@@ -76,7 +77,7 @@
 func (l *leaderState) groupState(now time.Time, service string) *groupState {
 	group := l.groups[service]
 	if group == nil {
-		group = &groupState{promotion: promotion.New(), createdAt: now, unsteadySince: now, steadySince: now, health: map[string]targetHealth{}}
+		group = &groupState{promotion: promotion.New(), createdAt: now, unsteadySince: now, steadySince: now, emptiedPaused: true, health: map[string]targetHealth{}}
 		l.groups[service] = group
 	}
 	return group
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -182,6 +182,17 @@
 	})),
 }
 
+var placeCommand = command{
+	name: "place", args: "empty|refill NAME", about: "Send nothing more to the targets of a place, or withdraw that.",
+	example: "citronctl place empty north",
+	setup: withoutFlags(requestAction(http.MethodPost, func(args []string) (string, error) {
+		if len(args) != 2 || args[0] != "empty" && args[0] != "refill" {
+			return "", usagef("want empty NAME or refill NAME")
+		}
+		return "/v1/places/" + url.PathEscape(args[1]) + "/" + args[0], nil
+	})),
+}
+
 var forgetCommand = command{
 	name: "forget", args: "SERVICE TARGET", about: "Remove a permanently lost target from its service.",
 	example: "citronctl forget bookings db-3",
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -36,7 +36,11 @@
 // printStatus prints hosts, services and deployed services as tables. A service has an owner; of a deployed
 // service each target has a holder, the host with its lease.
 func (e *env) printStatus(st control.Status) error {
-	fmt.Fprintf(e.out, "leader %s, consensus term %d, configuration revision %d\n\n", st.Leader, st.Term, st.Revision)
+	fmt.Fprintf(e.out, "leader %s, consensus term %d, configuration revision %d\n", st.Leader, st.Term, st.Revision)
+	if len(st.EmptiedPlaces) > 0 {
+		fmt.Fprintf(e.out, "emptied places: %s\n", strings.Join(st.EmptiedPlaces, ", "))
+	}
+	fmt.Fprintln(e.out)
 	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "HOST\tPLACE\tADDRESS\tSERVICES\tREVISION\tSILENT\tSTATE")
 	for _, name := range sorted(st.Hosts) {
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -50,6 +50,9 @@
 	// MaxConfigAge is how long after its last confirmation by the control leader a host judges operations by its
 	// deployment. It must be below the time within which a new deployment has to be in force.
 	MaxConfigAge time.Duration
+	// EmptyPlaceTime is how long open transaction blocks may continue in a place that is emptied. If zero,
+	// holder.DefaultEmptyPlaceTime applies.
+	EmptyPlaceTime time.Duration
 	// RateTolerance is the amount of tokens that may be lent beyond the teams' rates and bursts.
 	RateTolerance control.RateTolerance
 }
@@ -94,12 +97,14 @@
 // buildGateway creates the holder of targets, the gateway, and the listener for callers.
 func (d *Daemon) buildGateway() error {
 	targetHolder := holder.New(holder.Config{
-		Dialer:  d.options.Deployment.Dialer,
-		Leases:  d.agent,
-		Samples: &sampleClient{host: d.settings.Host, agent: d.agent, endpoint: d.endpoint, holder: func() *holder.Manager { return d.holder }},
-		Clock:   clock.BootTime{},
-		Logger:  d.logger,
-		Metrics: d.metrics,
+		Dialer:         d.options.Deployment.Dialer,
+		Leases:         d.agent,
+		EmptyPlaceTime: d.options.Deployment.EmptyPlaceTime,
+		PlaceEmptied:   d.placeEmptied,
+		Samples:        &sampleClient{host: d.settings.Host, agent: d.agent, endpoint: d.endpoint, holder: func() *holder.Manager { return d.holder }},
+		Clock:          clock.BootTime{},
+		Logger:         d.logger,
+		Metrics:        d.metrics,
 	})
 	d.agent.OnTargetLeases(func(leases []agent.TargetLease) {
 		held := make([]holder.Lease, 0, len(leases))
@@ -131,6 +136,25 @@
 	return nil
 }
 
+// placeEmptied reports whether the targets of a place get no work, as far as this host knows.
+func (d *Daemon) placeEmptied(place string) bool {
+	snap := d.agent.Catalog()
+	return snap != nil && snap.PlaceEmptied(place)
+}
+
+// PlaceOrders returns the number of accepted orders to empty or refill a place that this host knows of. A control host may
+// learn of them from the replicated log or with a renewal.
+func (d *Daemon) PlaceOrders(place string) uint64 {
+	var orders uint64
+	if snap := d.agent.Catalog(); snap != nil {
+		orders = snap.Catalog().Places[place].Orders
+	}
+	if d.control != nil {
+		orders = max(orders, d.control.Machine.Catalog().Catalog.Places[place].Orders)
+	}
+	return orders
+}
+
 // gatewayDirectory adapts the agent to the interface of the gateway package.
 type gatewayDirectory struct{ *agent.Agent }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -34,6 +34,10 @@
 	gauge(`citron_control_term`, func() float64 { return float64(d.replica.Status().Term) })
 	gauge(`citron_control_commit_index`, func() float64 { return float64(d.replica.Status().Commit) })
 	gauge(`citron_control_applied_index`, func() float64 { return float64(d.replica.Status().Applied) })
+	gauge(`citron_control_places_emptied`, func() float64 {
+		view := d.control.Machine.Catalog()
+		return float64(len(view.Catalog.EmptiedPlaces()))
+	})
 	gauge(`citron_control_members`, func() float64 { return float64(len(d.replica.Status().Members)) })
 	return nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -397,3 +398,35 @@
 	is.NoErr(err)
 	is.True(h.sentTargets()[0] != "a")
 }
+
+// Guards against statements at targets in an emptied place, and against callers who wait for a target although all are in
+// emptied places.
+func TestEmptiedPlaces(t *testing.T) {
+	is := is.New(t)
+	g, h, _ := newTestGateway(t)
+	empty := func(places ...string) {
+		c := h.catalogSnapshot.Catalog()
+		c.Places = map[string]catalog.Place{}
+		for _, place := range places {
+			c.Places[place] = catalog.Place{Emptied: true}
+		}
+		snap, err := catalog.NewSnapshot(c)
+		is.NoErr(err)
+		h.catalogSnapshot = snap
+	}
+	empty("x")
+	s := mustOpen(t, g, "aged")
+	for range 20 {
+		_, err := s.Do(context.Background(), readStatement())
+		is.NoErr(err)
+	}
+	is.True(!slices.Contains(h.sentTargets(), "a"))
+	h.sent = nil
+	empty("x", "y")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := s.Do(ctx, readStatement())
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.NoErr(ctx.Err())
+	is.Equal(len(h.sent), 0)
+}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -80,7 +80,7 @@
 	var best wire.TargetRoute
 	bestCost := time.Duration(-1)
 	for _, route := range r.cfg.Directory.TargetsOf(req.service) {
-		if route.Holder == "" || req.primary && !route.Primary || route.Leaving && !route.Primary || tried[route.Target] {
+		if route.Holder == "" || req.primary && !route.Primary || route.Leaving && !route.Primary || tried[route.Target] || !r.usable(route) {
 			continue
 		}
 		cost := r.cost(now, route, req)
@@ -91,6 +91,23 @@
 	return best, bestCost >= 0
 }
 
+// usable reports whether a target may get work: its place isn't emptied.
+func (r *router) usable(route wire.TargetRoute) bool {
+	snap := r.cfg.Directory.Catalog()
+	return snap == nil || !snap.PlaceEmptied(route.Place)
+}
+
+// allEmptied reports whether all targets of a service are in emptied places, so that none will be usable soon.
+func (r *router) allEmptied(service string) bool {
+	routes := r.cfg.Directory.TargetsOf(service)
+	for _, route := range routes {
+		if r.usable(route) {
+			return false
+		}
+	}
+	return len(routes) > 0
+}
+
 // cost estimates the time to a reply from a target, with penalties for another place, for reads at the
 // primary and for targets to be avoided. mu is held.
 func (r *router) cost(now time.Time, route wire.TargetRoute, req requirement) time.Duration {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -137,6 +137,9 @@
 			targetRoute, ok = g.router.choose(req, nil)
 		}
 		if !ok {
+			if g.router.allEmptied(run.route.Service) {
+				return statement.Result{}, targetRoute, nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "all targets of service %q are in emptied places", run.route.Service)
+			}
 			if lastErr == nil {
 				lastErr = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no usable target at present", run.route.Service)
 			}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -67,12 +67,16 @@
 
 // Config holds the dependencies of a Manager. Clock must keep running while the host is suspended.
 type Config struct {
-	Dialer  Dialer
-	Leases  Leases
-	Samples SampleSource
-	Clock   clock.Clock
-	Logger  log.Logger
-	Metrics *metrics.Set
+	Dialer Dialer
+	// PlaceEmptied reports whether the targets of a place get no work, as far as this host knows. It may be nil.
+	PlaceEmptied func(place string) bool
+	// EmptyPlaceTime is how long open blocks may continue in a place that is emptied; 0: DefaultEmptyPlaceTime.
+	EmptyPlaceTime time.Duration
+	Leases         Leases
+	Samples        SampleSource
+	Clock          clock.Clock
+	Logger         log.Logger
+	Metrics        *metrics.Set
 }
 
 // replicaRetryDelays are the delays before a statement is sent again to a replica that has not reached the position that
@@ -90,6 +94,8 @@
 	// leaseDrainTimeout bounds open blocks after the lease was revoked. It is half of the shortest grace
 	// period of a shutdown, 6 s.
 	leaseDrainTimeout = 3 * time.Second
+	// DefaultEmptyPlaceTime bounds open blocks in a place that is emptied.
+	DefaultEmptyPlaceTime = 2 * time.Second
 	// reportThreshold is the silence of a target, or the stall of a commit, from which the target counts as
 	// unhealthy and a renewal is requested to report it. Health lists a target that can't be reached from the
 	// first failure on.
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -28,6 +28,12 @@
 // New returns a Manager without targets. Run must be called for revocations, health reports and position
 // polls to take effect.
 func New(cfg Config) *Manager {
+	if cfg.PlaceEmptied == nil {
+		cfg.PlaceEmptied = func(string) bool { return false }
+	}
+	if cfg.EmptyPlaceTime <= 0 {
+		cfg.EmptyPlaceTime = DefaultEmptyPlaceTime
+	}
 	m := &Manager{cfg: cfg, logger: log.With(cfg.Logger, "part", "holder"), targets: map[string]*target{}, samples: newSampleStore(cfg)}
 	m.metrics = newHolderMetrics(cfg.Metrics)
 	return m
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -95,9 +95,9 @@
 		return errorReply(err)
 	}
 	defer ticket.Release()
-	if !t.valid(req.NeedsPrimary) {
+	if err := t.mayStart(req.NeedsPrimary); err != nil {
 		t.conns.put(c)
-		return errorReply(errLeaseEnded)
+		return errorReply(err)
 	}
 	res, err := t.exec(ctx, c, req.Statement, req.MinPosition, false)
 	if connBroken(err) {
@@ -191,9 +191,9 @@
 	t.mu.Unlock()
 	b.sem <- struct{}{}
 	defer func() { <-b.sem }()
-	if !t.valid(req.NeedsPrimary) {
+	if err := t.mayStart(req.NeedsPrimary); err != nil {
 		b.finish(true)
-		return errorReply(errLeaseEnded), nil
+		return errorReply(err), nil
 	}
 	if _, err := c.Run(ctx, req.Begin, req.MinPosition); err != nil {
 		b.finish(!connBroken(err))
@@ -257,6 +257,10 @@
 // runStatement runs a statement, and then pauses the ticket, which releases the slot until the next statement.
 // b.sem is held, and the ticket is not paused.
 func (b *Block) runStatement(ctx context.Context, st statement.Statement) wire.StatementReply {
+	if b.target.isClosedByOrder() {
+		b.finish(false)
+		return errorReply(errBlockAborted(errPlaceEmptied))
+	}
 	if st.Kind == statement.Commit && !b.target.valid(b.needsPrimary) {
 		b.finish(false)
 		return errorReply(errBlockAborted(errLeaseEnded))
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -17,6 +17,7 @@
 var (
 	errLeaseEnded   = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the lease of the target has ended")
 	errTargetSilent = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the target is not responding")
+	errPlaceEmptied = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the place of the target is emptied")
 	errNotPrimary   = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host does not hold the primary right for the target")
 )
 
@@ -42,6 +43,7 @@
 	mu                sync.Mutex
 	grant             wire.TargetGrant
 	revokedAt         time.Time // zero: not revoked
+	emptiedAt         time.Time // when the place was first found to be emptied; zero: it isn't
 	primaryRevokedAt  time.Time // zero: the primary right is not revoked, or already released
 	closed            bool
 	activeWork        int // admitted single statements and blocks that have not ended
@@ -123,6 +125,8 @@
 	switch {
 	case t.closed, !t.revokedAt.IsZero():
 		return errLeaseEnded
+	case t.manager.cfg.PlaceEmptied(t.grant.Place):
+		return errPlaceEmptied
 	case needsPrimary && !t.grant.Primary:
 		return errNotPrimary
 	case t.healthLocked(t.manager.cfg.Clock.Now()).SilentFor >= silenceLimit:
@@ -164,6 +168,45 @@
 	}
 }
 
+// mayStart returns an error if a statement that has waited for its turn must not be sent any more.
+func (t *target) mayStart(needsPrimary bool) error {
+	t.mu.Lock()
+	place := t.grant.Place
+	t.mu.Unlock()
+	if t.manager.cfg.PlaceEmptied(place) {
+		return errPlaceEmptied
+	}
+	if !t.valid(needsPrimary) {
+		return errLeaseEnded
+	}
+	return nil
+}
+
+// emptyingEnded reports whether the place has been emptied for so long that nothing may be sent to the target. mu is held.
+func (t *target) emptyingEnded(now time.Time) bool {
+	return !t.emptiedAt.IsZero() && now.Sub(t.emptiedAt) >= t.manager.cfg.EmptyPlaceTime
+}
+
+// isClosedByOrder reports whether nothing may be sent to the target any more because its place is emptied.
+func (t *target) isClosedByOrder() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.emptyingEnded(t.manager.cfg.Clock.Now())
+}
+
+// recordEmptied records when the place of the target was emptied or refilled. mu is held.
+func (t *target) recordEmptied(now time.Time) {
+	emptied := t.manager.cfg.PlaceEmptied(t.grant.Place)
+	if emptied == !t.emptiedAt.IsZero() {
+		return
+	}
+	t.emptiedAt = time.Time{}
+	if emptied {
+		t.emptiedAt = now
+	}
+	_ = level.Info(t.manager.logger).Log("msg", "place of target changed", "target", t.name, "place", t.grant.Place, "emptied", emptied, "work", t.activeWork)
+}
+
 // valid reports whether the lease is valid now, and with needsPrimary whether it includes the primary right.
 func (t *target) valid(needsPrimary bool) bool {
 	t.mu.Lock()
@@ -210,11 +253,14 @@
 		t.manager.removeTarget(t)
 		return
 	}
+	t.mu.Lock()
+	t.recordEmptied(now)
+	t.mu.Unlock()
 	t.enforceRevocation()
 	t.mu.Lock()
 	unhealthy := t.unhealthy(now)
 	due := unhealthy || t.grant.Primary && now.Sub(t.sampleAt) >= sampleInterval
-	poll := due && !t.polling && t.revokedAt.IsZero()
+	poll := due && !t.polling && t.revokedAt.IsZero() && !t.emptyingEnded(now)
 	t.polling = t.polling || poll
 	report := unhealthy && now.Sub(t.reportedAt) >= reportInterval
 	if report {
@@ -230,14 +276,14 @@
 }
 
 // enforceRevocation aborts blocks that outlast the drain timeout after the lease, or the primary right that
-// they need, was revoked, and returns what is drained. For the primary right it also cancels the running
+// they need, was revoked, or the place was emptied, and returns what is drained. For the primary right it also cancels the running
 // statements that need it; for the lease, running statements may continue until their own timeouts. At an
 // unhealthy target, work that needs the primary is aborted at once: it would not end in time, and a promotion
 // waits for it.
 func (t *target) enforceRevocation() {
 	now := t.manager.cfg.Clock.Now()
 	t.mu.Lock()
-	leaseOverdue := !t.revokedAt.IsZero() && now.Sub(t.revokedAt) >= leaseDrainTimeout
+	leaseOverdue := !t.revokedAt.IsZero() && now.Sub(t.revokedAt) >= leaseDrainTimeout || t.emptyingEnded(now)
 	primaryOverdue := !t.primaryRevokedAt.IsZero() && (now.Sub(t.primaryRevokedAt) >= primaryDrainTimeout || t.unhealthy(now))
 	var toAbort []*Block
 	for b := range t.blocks {
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -39,6 +39,8 @@
 	// Term is the fencing token of the service's last promotion order. It is the term of the primary,
 	// which the holder compares with the term that the target reports.
 	Term uint64 `cbor:"8,keyasint,omitempty"`
+	// Place of the target.
+	Place string `cbor:"9,keyasint,omitempty"`
 }
 
 // TargetRoute names the host that executes the statements for a target: the holder of its lease.
