warmup, holder, control: limit what a cold target gets in any second

Cause: a target that has just started, or has had no work, bears less than a warm one. Registrations say how long; nothing used it. Change: a service may set a cold rate. The holder of a target's lease counts every message in a sliding second and refuses what is beyond, as busy and not run; a target counts as cold until it has registered as warm, later than anything that may have hidden a restart. Grants carry limit and age of the registration, routes that a target is cold.

--- a/internal/catalog/deployment.go
+++ b/internal/catalog/deployment.go
@@ -46,6 +46,8 @@
 	Name         string `cbor:"1,keyasint" json:"name"`
 	Connections  int    `cbor:"2,keyasint" json:"connections"`   // limit per target, over all hosts
 	SyncReplicas int    `cbor:"3,keyasint" json:"sync_replicas"` // replicas that must receive a commit before it is acknowledged
+	// ColdRate is the number of statements/s that a target bears while it is cold; 0: it has no limit.
+	ColdRate float64 `cbor:"4,keyasint,omitempty" json:"cold_rate,omitempty"`
 }
 
 // DeployedTeam is a team of a deployment with the digests of its keys.
@@ -74,8 +76,8 @@
 			return fmt.Errorf("services[%d]: the name is empty", i)
 		case services[s.Name]:
 			return fmt.Errorf("services[%d]: duplicate service %q", i, s.Name)
-		case s.Connections < 0 || s.SyncReplicas < 0:
-			return fmt.Errorf("services[%d]: connections (%d) and sync replicas (%d) must not be negative", i, s.Connections, s.SyncReplicas)
+		case s.Connections < 0 || s.SyncReplicas < 0 || s.ColdRate < 0:
+			return fmt.Errorf("services[%d]: connections (%d), sync replicas (%d) and cold rate (%v) must not be negative", i, s.Connections, s.SyncReplicas, s.ColdRate)
 		}
 		services[s.Name] = true
 	}
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -291,6 +291,10 @@
 func (s *Server) confirmPrimary(ctx context.Context, t TargetRef) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmPrimaryTimeout)
 	defer cancel()
+	interval := confirmRetryInterval
+	if s.limitsCold(t.Service) {
+		interval = coldConfirmInterval
+	}
 	var lastErr error
 	for ctx.Err() == nil {
 		queryCtx, cancelQuery := context.WithTimeout(ctx, inspectTimeout)
@@ -302,7 +306,7 @@
 		if lastErr = err; err == nil {
 			lastErr = errReplicaRole
 		}
-		timer := time.NewTimer(confirmRetryInterval)
+		timer := time.NewTimer(interval)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -93,6 +93,8 @@
 	AcceptDetours bool
 	// RateTolerance applies to the rate limits of deployed teams.
 	RateTolerance RateTolerance
+	// ColdTolerance applies to the rates of cold targets.
+	ColdTolerance ColdTolerance
 }
 
 // Server handles requests of hosts, targets and operators while its consensus member is the leader.
--- a/internal/control/target_leases.go
+++ b/internal/control/target_leases.go
@@ -44,7 +44,7 @@
 				Target: target, Epoch: epoch, Service: service.Name, Addr: member.Addr, Slots: max(member.Slots, 1),
 				Connections: max(service.Connections-reservedConnections, 1), Primary: primary,
 				Term:  record.Token, // the fencing token of the last promotion order is the term of its primary
-				Place: member.Place,
+				Place: member.Place, Coldness: s.coldness(leader, now, service, target),
 			})
 		}
 	}
@@ -171,6 +171,7 @@
 		for target, member := range record.Members {
 			r := wire.TargetRoute{Target: target, Service: service, Place: member.Place}
 			r.Leaving = !leader.leavingSince(target).IsZero()
+			r.Cold = s.isCold(leader, now, service, target)
 			r.Primary = record.Primary == target && record.Candidate == "" && group.promotion.Serving()
 			if targetLease := leader.targetLeases.Lease(target); targetLease != nil && !targetLease.Releasing() {
 				if h := leader.hosts[targetLease.Host]; h != nil && h.bootID == targetLease.BootID {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -65,6 +65,7 @@
 		serverConf.TargetControl = o.TargetControl
 		serverConf.DrainTime = o.DrainTime
 		serverConf.RateTolerance = o.RateTolerance
+		serverConf.ColdTolerance = o.ColdTolerance
 		serverConf.ControlAddrs = d.controlAddrs
 		serverConf.CheckChangeAllowed = d.checkChangeAllowed
 		serverConf.AcceptDetours = d.detours()
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -12,11 +12,13 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/agent"
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/control"
 	"github.com/citronrun/citronrun/internal/entry"
 	"github.com/citronrun/citronrun/internal/gateway"
 	"github.com/citronrun/citronrun/internal/holder"
+	"github.com/citronrun/citronrun/internal/placement"
 	"github.com/citronrun/citronrun/internal/ratelimit"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -55,6 +57,8 @@
 	EmptyPlaceTime time.Duration
 	// RateTolerance is the amount of tokens that may be lent beyond the teams' rates and bursts.
 	RateTolerance control.RateTolerance
+	// ColdTolerance is how far the statements at a cold target may exceed its rate.
+	ColdTolerance control.ColdTolerance
 }
 
 const (
@@ -100,7 +104,7 @@
 		Dialer:         d.options.Deployment.Dialer,
 		Leases:         d.agent,
 		EmptyPlaceTime: d.options.Deployment.EmptyPlaceTime,
-		PlaceEmptied:   d.placeEmptied,
+		Place:          d.place,
 		Samples:        &sampleClient{host: d.settings.Host, agent: d.agent, endpoint: d.endpoint, holder: func() *holder.Manager { return d.holder }},
 		Clock:          clock.BootTime{},
 		Logger:         d.logger,
@@ -109,7 +113,7 @@
 	d.agent.OnTargetLeases(func(leases []agent.TargetLease) {
 		held := make([]holder.Lease, 0, len(leases))
 		for _, l := range leases {
-			held = append(held, holder.Lease{TargetGrant: l.TargetGrant, Revoked: l.Revoked})
+			held = append(held, holder.Lease{TargetGrant: l.TargetGrant, Revoked: l.Revoked, RenewedAt: l.ExpiresAt.Add(-placement.TTL)})
 		}
 		targetHolder.Apply(held)
 	})
@@ -136,19 +140,18 @@
 	return nil
 }
 
-// placeEmptied reports whether the targets of a place get no work, as far as this host knows.
-func (d *Daemon) placeEmptied(place string) bool {
-	snap := d.agent.Catalog()
-	return snap != nil && snap.PlaceEmptied(place)
+// place returns what operators have ordered for a place, as far as this host knows.
+func (d *Daemon) place(name string) catalog.Place {
+	if snap := d.agent.Catalog(); snap != nil {
+		return snap.Catalog().Places[name]
+	}
+	return catalog.Place{}
 }
 
 // PlaceOrders returns the number of accepted orders to empty or refill a place that this host knows of. A control host may
 // learn of them from the replicated log or with a renewal.
 func (d *Daemon) PlaceOrders(place string) uint64 {
-	var orders uint64
-	if snap := d.agent.Catalog(); snap != nil {
-		orders = snap.Catalog().Places[place].Orders
-	}
+	orders := d.place(place).Orders
 	if d.control != nil {
 		orders = max(orders, d.control.Machine.Catalog().Catalog.Places[place].Orders)
 	}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -17,6 +17,9 @@
 	// primaryReadCost is the penalty of the primary for a read that a replica can serve. It reserves the
 	// primary for statements that need it.
 	primaryReadCost = 15 * time.Millisecond
+	// coldTargetCost is the penalty of a target that has started a short time ago and bears little. It exceeds
+	// remotePlaceCost, so that targets in other places are preferred.
+	coldTargetCost = 200 * time.Millisecond
 	// pendingStatementCost is the expected wait for each statement that this host has in flight at a target.
 	pendingStatementCost = 5 * time.Millisecond
 	// waitDecay is the half-life of an announced queue wait.
@@ -122,6 +125,9 @@
 	if route.Primary && !req.primary {
 		cost += primaryReadCost
 	}
+	if route.Cold {
+		cost += coldTargetCost
+	}
 	if now.Before(stats.avoidUntil) {
 		cost += time.Second
 	}
--- a/internal/holder/conns.go
+++ b/internal/holder/conns.go
@@ -86,6 +86,7 @@
 type connPool struct {
 	manager *Manager
 	dial    func(ctx context.Context, team string) (Conn, error)
+	broken  func() // called when an idle connection turns out to be broken
 
 	mu        sync.Mutex
 	maxOpen   int
@@ -109,6 +110,7 @@
 			p.manager.metrics.reused.Inc()
 			return c, nil
 		}
+		p.broken()
 		p.drop(c)
 	}
 }
--- a/internal/holder/health.go
+++ b/internal/holder/health.go
@@ -25,8 +25,10 @@
 
 // recordUnreachable records a failure to reach the target, which began at the given time.
 func (t *target) recordUnreachable(at time.Time) {
+	now := t.manager.cfg.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.limiter.RecordUncertain(now)
 	if t.unreachableSince.IsZero() {
 		t.unreachableSince = at
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/statement"
@@ -48,7 +49,8 @@
 	wire.TargetGrant
 	// Revoked means that running work is drained and no new work starts. The lease stays valid until it is
 	// returned or expires.
-	Revoked bool
+	Revoked   bool
+	RenewedAt time.Time // when the request for its latest renewal was sent
 }
 
 // Leases gives access to the leases of this host.
@@ -68,8 +70,8 @@
 // Config holds the dependencies of a Manager. Clock must keep running while the host is suspended.
 type Config struct {
 	Dialer Dialer
-	// PlaceEmptied reports whether the targets of a place get no work, as far as this host knows. It may be nil.
-	PlaceEmptied func(place string) bool
+	// Place returns what operators have ordered for a place, as far as this host knows. It may be nil.
+	Place func(name string) catalog.Place
 	// EmptyPlaceTime is how long open blocks may continue in a place that is emptied; 0: DefaultEmptyPlaceTime.
 	EmptyPlaceTime time.Duration
 	Leases         Leases
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/statement"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
@@ -28,8 +29,8 @@
 // New returns a Manager without targets. Run must be called for revocations, health reports and position
 // polls to take effect.
 func New(cfg Config) *Manager {
-	if cfg.PlaceEmptied == nil {
-		cfg.PlaceEmptied = func(string) bool { return false }
+	if cfg.Place == nil {
+		cfg.Place = func(string) catalog.Place { return catalog.Place{} }
 	}
 	if cfg.EmptyPlaceTime <= 0 {
 		cfg.EmptyPlaceTime = DefaultEmptyPlaceTime
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -17,6 +17,7 @@
 	queueSeconds   *metrics.Histogram
 	runSeconds     *metrics.Histogram
 	replicaRetries *metrics.Counter   // statements sent again to a replica that was behind
+	coldRefusals   *metrics.Counter   // messages that were not sent because the target is cold
 	readAge        *metrics.Histogram // of the samples by which reads at replicas are checked
 }
 
@@ -38,6 +39,7 @@
 		queueSeconds:   set.NewHistogram("citron_target_queue_seconds"),
 		runSeconds:     set.NewHistogram("citron_target_run_seconds"),
 		replicaRetries: set.NewCounter("citron_target_replica_retries_total"),
+		coldRefusals:   set.NewCounter("citron_target_cold_refusals_total"),
 		readAge:        set.NewHistogram("citron_read_sample_age_seconds"),
 	}
 }
--- a/internal/holder/places_test.go
+++ b/internal/holder/places_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/statement"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
@@ -18,7 +19,7 @@
 	is := is.New(t)
 	f := newFixture(4)
 	emptied := false
-	f.cfg.PlaceEmptied = func(place string) bool { return emptied && place == "x" }
+	f.cfg.Place = func(name string) catalog.Place { return catalog.Place{Emptied: emptied && name == "x"} }
 	f.grantedLease.Place = "x"
 	f.Apply([]Lease{f.grantedLease})
 	ctx := context.Background()
@@ -60,7 +61,7 @@
 	is := is.New(t)
 	f := newFixture(2)
 	checks := 0
-	f.cfg.PlaceEmptied = func(string) bool { checks++; return checks > 1 }
+	f.cfg.Place = func(string) catalog.Place { checks++; return catalog.Place{Emptied: checks > 1} }
 	reply, _ := f.Start(context.Background(), newRequest("t", statement.Write, "x", nil))
 	is.Equal(reply.Code, verdict.CodeUnavailable)
 	is.Equal(len(f.target.executed), 0)
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -137,7 +137,11 @@
 	startedAt := t.manager.cfg.Clock.Now()
 	running := t.recordStart(waitsForReplicas(st, inBlock))
 	res, err := c.Run(ctx, st, minPosition)
-	t.recordFinish(running, !connBroken(err))
+	t.recordFinish(running, !connBroken(err) && !refusedAsCold(err))
+	if refusedAsCold(err) {
+		t.manager.metrics.countOutcome(verdict.CodeTooBusy)
+		return res, err
+	}
 	t.manager.metrics.runSeconds.Update(t.manager.cfg.Clock.Now().Sub(startedAt).Seconds())
 	if connBroken(err) {
 		if ctx.Err() == nil {
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -11,6 +11,7 @@
 	"github.com/citronrun/citronrun/internal/admission"
 	"github.com/citronrun/citronrun/internal/contain"
 	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/warmup"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -43,6 +44,9 @@
 	mu                sync.Mutex
 	grant             wire.TargetGrant
 	revokedAt         time.Time // zero: not revoked
+	limiter           *warmup.Limiter
+	cold              bool      // as last logged
+	placeOrders       uint64    // accepted orders for the place, as last seen
 	emptiedAt         time.Time // when the place was first found to be emptied; zero: it isn't
 	primaryRevokedAt  time.Time // zero: the primary right is not revoked, or already released
 	closed            bool
@@ -67,8 +71,9 @@
 		blocks:         map[*Block]struct{}{},
 		primaryCancels: map[*context.CancelFunc]struct{}{},
 		running:        map[*runningStatement]struct{}{},
+		limiter:        warmup.New(m.cfg.Clock.Now()),
 	}
-	t.conns = &connPool{manager: m, dial: t.dial}
+	t.conns = &connPool{manager: m, dial: t.dial, broken: t.recordUncertain}
 	return t
 }
 
@@ -96,6 +101,7 @@
 		_ = level.Info(t.manager.logger).Log("msg", "target lease revoked", "target", t.name, "epoch", t.epoch, "work", t.activeWork)
 	}
 	t.grant = l.TargetGrant
+	t.recordColdness(now, l)
 }
 
 // dial opens a connection and records whether the target was reached.
@@ -103,6 +109,12 @@
 	t.mu.Lock()
 	grant := t.grant
 	t.mu.Unlock()
+	if t.conns.openCount() <= 1 { // no other connection would have shown a restart
+		t.recordUncertain()
+	}
+	if err := t.admit(); err != nil {
+		return nil, err
+	}
 	startedAt := t.manager.cfg.Clock.Now()
 	c, err := t.manager.cfg.Dialer.Dial(ctx, grant, team)
 	if err != nil {
@@ -115,22 +127,27 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "target %q is unreachable: %w", t.name, err)
 	}
 	t.recordContact()
-	return c, nil
+	return limitedConn{c, t}, nil
 }
 
 // beginWork admits a single statement or a block. endWork must be called when it has ended.
 func (t *target) beginWork(needsPrimary bool) error {
+	now := t.manager.cfg.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.recordPlace(now)
 	switch {
 	case t.closed, !t.revokedAt.IsZero():
 		return errLeaseEnded
-	case t.manager.cfg.PlaceEmptied(t.grant.Place):
+	case !t.emptiedAt.IsZero():
 		return errPlaceEmptied
 	case needsPrimary && !t.grant.Primary:
 		return errNotPrimary
-	case t.healthLocked(t.manager.cfg.Clock.Now()).SilentFor >= silenceLimit:
+	case t.healthLocked(now).SilentFor >= silenceLimit:
 		return errTargetSilent
+	case !t.limiter.HasRoom(now):
+		t.manager.metrics.coldRefusals.Inc()
+		return errTargetCold
 	}
 	t.activeWork++
 	if needsPrimary {
@@ -171,9 +188,10 @@
 // mayStart returns an error if a statement that has waited for its turn must not be sent any more.
 func (t *target) mayStart(needsPrimary bool) error {
 	t.mu.Lock()
-	place := t.grant.Place
+	t.recordPlace(t.manager.cfg.Clock.Now())
+	emptied := !t.emptiedAt.IsZero()
 	t.mu.Unlock()
-	if t.manager.cfg.PlaceEmptied(place) {
+	if emptied {
 		return errPlaceEmptied
 	}
 	if !t.valid(needsPrimary) {
@@ -194,17 +212,21 @@
 	return t.emptyingEnded(t.manager.cfg.Clock.Now())
 }
 
-// recordEmptied records when the place of the target was emptied or refilled. mu is held.
-func (t *target) recordEmptied(now time.Time) {
-	emptied := t.manager.cfg.PlaceEmptied(t.grant.Place)
-	if emptied == !t.emptiedAt.IsZero() {
+// recordPlace records when the place of the target was emptied or refilled. A refilled target may have become cold. mu is held.
+func (t *target) recordPlace(now time.Time) {
+	place := t.manager.cfg.Place(t.grant.Place)
+	if place.Orders != t.placeOrders {
+		t.placeOrders = place.Orders
+		t.limiter.RecordUncertain(now)
+	}
+	if place.Emptied == !t.emptiedAt.IsZero() {
 		return
 	}
 	t.emptiedAt = time.Time{}
-	if emptied {
+	if place.Emptied {
 		t.emptiedAt = now
 	}
-	_ = level.Info(t.manager.logger).Log("msg", "place of target changed", "target", t.name, "place", t.grant.Place, "emptied", emptied, "work", t.activeWork)
+	_ = level.Info(t.manager.logger).Log("msg", "place of target changed", "target", t.name, "place", t.grant.Place, "emptied", place.Emptied, "work", t.activeWork)
 }
 
 // valid reports whether the lease is valid now, and with needsPrimary whether it includes the primary right.
@@ -254,7 +276,8 @@
 		return
 	}
 	t.mu.Lock()
-	t.recordEmptied(now)
+	t.recordPlace(now)
+	t.logColdness(now)
 	t.mu.Unlock()
 	t.enforceRevocation()
 	t.mu.Lock()
@@ -315,6 +338,7 @@
 	defer cancel()
 	c := t.conns.takeAnyIdle()
 	if c != nil && !c.Usable() {
+		t.recordUncertain()
 		t.conns.drop(c)
 		c = nil
 	}
@@ -327,7 +351,11 @@
 	sentAt := t.manager.cfg.Clock.Now()
 	running := t.recordStart(false)
 	pos, err := c.PollPosition(ctx)
-	t.recordFinish(running, !connBroken(err))
+	t.recordFinish(running, !connBroken(err) && !refusedAsCold(err))
+	if refusedAsCold(err) {
+		t.conns.put(c)
+		return
+	}
 	if connBroken(err) {
 		t.recordUnreachable(sentAt)
 		t.conns.drop(c)
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -41,6 +41,17 @@
 	Term uint64 `cbor:"8,keyasint,omitempty"`
 	// Place of the target.
 	Place string `cbor:"9,keyasint,omitempty"`
+	// Coldness is set only for a service that limits what is sent to a cold target.
+	Coldness Coldness `cbor:"10,keyasint,omitzero"`
+}
+
+// Coldness tells the holder of a target what control knows of its start.
+type Coldness struct {
+	Limit    int           `cbor:"1,keyasint"`           // statements that the target bears in any second while it is cold
+	Known    bool          `cbor:"2,keyasint,omitempty"` // the target has registered at this leader
+	HeardAgo time.Duration `cbor:"3,keyasint,omitempty"` // age of the registration
+	// Remaining is how long the target stays cold, from the sending of the grant at most.
+	Remaining time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // TargetRoute names the host that executes the statements for a target: the holder of its lease.
@@ -52,6 +63,7 @@
 	Addr    string `cbor:"5,keyasint,omitempty"` // QUIC address of the holder
 	Primary bool   `cbor:"6,keyasint,omitempty"`
 	Leaving bool   `cbor:"7,keyasint,omitempty"`
+	Cold    bool   `cbor:"8,keyasint,omitempty"` // bears only part of its usual load; others are preferred
 }
 
 // StatementRequest is the first request of a stream of kind KindStatement: either a single statement, or
