control: keep changes and primaries through the loss of a place

Cause: (1) With five of nine control hosts joined, three voters of one place made a majority, so that a change could be acknowledged by hosts of a place that may be lost. (2) A primary that was cut off together with its holder: while the leader probed it, the lease ended, the primary counted as back, and a host elsewhere got the lease, which had to find out again that it doesn't answer. Change: (1) where the settings tolerate the loss of places, changes are refused while the loss could take a majority of the voters, for at most 8 s after an election. (2) A silent target without a lease stays silent, and gets no holder while it is probed.

--- a/internal/control/places.go
+++ b/internal/control/places.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/placement"
 )
 
 var placeOrders = metrics.NewCounter(`citron_control_place_orders_total`) // accepted orders to empty or refill a place
@@ -37,6 +39,40 @@
 	return fmt.Errorf("%q does not exist: no settings, target or host names it", o.Place)
 }
 
+// voterPlacesWait is how long after its election a leader refuses changes because the voters it knows don't bear the loss of
+// places. Later it accepts them: the control hosts then don't stand in such a way, or more of them are lost than is tolerated.
+const voterPlacesWait = 8 * time.Second
+
+var errVotersInOnePlace = errors.New("too many voters are in the places that may be lost, or their places aren't known yet")
+
+// checkVoterPlaces returns an error while a change could be lost with places that may be lost.
+func (s *Server) checkVoterPlaces() error {
+	if s.PlacesToBear == 0 || s.VoterAddrs == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader == nil || s.Clock.Now().Sub(s.leader.readyAt) >= voterPlacesWait {
+		return nil
+	}
+	places := map[string]string{} // by address
+	for _, h := range s.leader.hosts {
+		places[h.addr] = h.place
+	}
+	voters, unknown := map[string]int{}, 0
+	for _, addr := range s.VoterAddrs() {
+		if place, ok := places[addr]; ok {
+			voters[place]++
+		} else {
+			unknown++
+		}
+	}
+	if !placement.BearsLoss(voters, unknown, s.PlacesToBear) {
+		return fmt.Errorf("%w: %v, %d unknown", errVotersInOnePlace, voters, unknown)
+	}
+	return nil
+}
+
 // placeOrdered lets all hosts learn of an accepted order, and starts the promotions that it requires.
 func (s *Server) placeOrdered(o *catalog.PlaceOrder) {
 	placeOrders.Inc()
--- a/internal/control/places_test.go
+++ b/internal/control/places_test.go
@@ -192,3 +192,60 @@
 	r.leader.hosts["host"] = &hostState{place: "w"}
 	is.NoErr(r.checkPlace(&catalog.PlaceOrder{Place: "w"}))
 }
+
+// Guards against a change that a majority in one place acknowledges, so that it is lost with the place, and against one that is
+// refused for ever because the control hosts stand so.
+func TestVotersInOnePlace(t *testing.T) {
+	is := is.New(t)
+	r := newPlacesTest(t)
+	voters := []string{"x1", "x2", "x3", "y1", "z1"}
+	r.PlacesToBear, r.VoterAddrs = 1, func() []string { return voters }
+	r.leader.readyAt = r.clock.Now()
+	is.True(r.checkVoterPlaces() != nil) // no place is known
+	for _, addr := range []string{"x1", "x2", "x3", "y1", "z1", "z2", "y2"} {
+		r.leader.hosts[addr] = &hostState{place: addr[:1], addr: addr}
+	}
+	is.True(r.checkVoterPlaces() != nil)
+	voters = append(voters, "z2", "y2")
+	is.NoErr(r.checkVoterPlaces())
+	voters = voters[:5]
+	r.clock.Advance(voterPlacesWait)
+	is.NoErr(r.checkVoterPlaces())
+}
+
+// Guards against a primary that is cut off together with its holder, and gets another holder while the leader still probes it:
+// that one would have to find out again that the primary doesn't answer, and get a lease that has to expire.
+func TestCutPrimaryGetsNoHolderWhileProbed(t *testing.T) {
+	is := is.New(t)
+	r := newPlacesTest(t)
+	for _, member := range r.Log.(testMember).consensus.members {
+		member.Machine.config.(*testConfig).Current.Deployment = &catalog.Deployment{Services: []catalog.DeployedService{{Name: "s"}}}
+	}
+	r.empty(t)
+	r.leader.targetLeases.Assign(r.clock.Now(), "p", placement.Record{Host: "host-x", BootID: "1", Epoch: 1})
+	r.leader.targetLeases.Renew(r.clock.Now(), "p", "host-x", "1", true)
+	r.leader.hosts["host-x"] = &hostState{bootID: "1", place: "x", entry: true, renewedAt: r.clock.Now()}
+	for target := range r.Machine.Group("s").Members {
+		r.leader.registrations[target] = &registration{receivedAt: r.clock.Now()}
+	}
+	advance := func(d time.Duration) { // only place x is cut
+		r.clock.Advance(d)
+		r.leader.hosts["host-y"] = &hostState{bootID: "1", place: "y", entry: true, renewedAt: r.clock.Now()}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.placeTargets(r.leader, r.clock.Now())
+		r.leader.groupState(r.clock.Now(), "s").promotion.Step(r.promotionInput(r.leader, r.clock.Now(), r.Machine.Group("s"), r.leader.groups["s"]))
+	}
+	advance(registrationOverdue)
+	is.Equal(r.leader.groups["s"].promotion.State(), "probing")
+	advance(placement.ExpiryWait - registrationOverdue) // the lease has ended, and the probe isn't answered yet
+	r.background.Wait()
+	is.Equal(r.leader.targetLeases.Lease("p"), nil)
+	advance(100 * time.Millisecond)
+	r.background.Wait()
+	is.Equal(r.leader.targetLeases.Lease("p"), nil)
+	is.Equal(r.leader.groups["s"].promotion.State(), "probing")
+	r.leader.groups["s"].promotion.RecordProbe(false)
+	r.targets.unreachable["p"] = true
+	is.True(r.run() == "a" || r.run() == "b")
+}
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -140,12 +140,15 @@
 
 // targetAndHolderSilent reports whether both a target and the holder of its lease have been silent for
 // so long that they may have failed together. A probe of the target then decides. Without this check the
-// failure would only be detected by the next holder.
+// failure would only be detected by the next holder. A target whose lease has ended has no holder that answers.
 func (l *leaderState) targetAndHolderSilent(now time.Time, target string) bool {
 	targetLease, r := l.targetLeases.Lease(target), l.registrations[target]
-	if targetLease == nil || r == nil || now.Sub(r.receivedAt) < registrationOverdue {
+	if r == nil || now.Sub(r.receivedAt) < registrationOverdue {
 		return false
 	}
+	if targetLease == nil {
+		return true
+	}
 	h := l.hosts[targetLease.Host]
 	return h == nil || now.Sub(h.renewedAt) >= renewalOverdue
 }
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -31,6 +31,9 @@
 			return &wire.ChangeReply{Message: err.Error()}, nil
 		}
 	}
+	if err := s.checkVoterPlaces(); err != nil {
+		return &wire.ChangeReply{Message: err.Error()}, nil
+	}
 	if err := s.checkPlace(change.Place); err != nil {
 		return changeReply(catalog.Result{Code: catalog.CodeInvalid, Revision: s.Machine.Catalog().Catalog.Revision, Field: "place", Message: err.Error()})
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -84,6 +84,10 @@
 	// CheckChangeAllowed returns an error while catalog changes must be rejected because too few control
 	// hosts would store them. It may be nil.
 	CheckChangeAllowed func() error
+	// PlacesToBear is the number of places that may be lost at once. Changes are refused while the loss of so many could
+	// take a majority of the voters, whose addresses VoterAddrs returns; 0: no such limit.
+	PlacesToBear int
+	VoterAddrs   func() []string
 	// DrainTime is how long a target may still get new work after it has reported that it is leaving. After
 	// that time its lease is no longer renewed.
 	// If zero or negative, DefaultDrainTime applies.
--- a/internal/control/target_leases.go
+++ b/internal/control/target_leases.go
@@ -212,6 +212,8 @@
 		for target, member := range record.Members {
 			if !isDeployed(d, service) || s.drainTimeElapsed(leader, now, target) || s.mustBeIdle(leader, now, record, target) {
 				leader.targetLeases.Release(target)
+			} else if leader.isProbed(now, service, record, target) && leader.targetLeases.Free(now, target) {
+				continue // another holder would have to find out by itself that the target doesn't answer
 			} else if !leader.settled(now, summary, target, member) {
 				s.placeTarget(leader, now, hosts, target, member)
 			}
@@ -253,6 +255,11 @@
 		summary.Settled(targetLease.Host, targetLease.BootID, member.Place)
 }
 
+// isProbed reports whether the leader is finding out whether a silent primary answers.
+func (l *leaderState) isProbed(now time.Time, service string, record Group, target string) bool {
+	return target == record.Primary && l.groupState(now, service).promotion.State() == "probing"
+}
+
 // drainTimeElapsed reports whether a target has been leaving for at least DrainTime, so that it must get no
 // new work.
 func (s *Server) drainTimeElapsed(leader *leaderState, now time.Time, target string) bool {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -68,6 +68,8 @@
 		serverConf.ColdTolerance = o.ColdTolerance
 		serverConf.ControlAddrs = d.controlAddrs
 		serverConf.CheckChangeAllowed = d.checkChangeAllowed
+		serverConf.PlacesToBear = o.PlacesToBear
+		serverConf.VoterAddrs = d.voterAddrs
 		serverConf.AcceptDetours = d.detours()
 	}
 	d.control = control.New(serverConf)
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -43,6 +43,8 @@
 	NewCallerServer func(g *gateway.Gateway, logger log.Logger) CallerServer
 	// MinVoters is the least number of voting control hosts with which changes are accepted.
 	MinVoters int
+	// PlacesToBear is the number of places that may be lost at once.
+	PlacesToBear int
 	// CatchUpTime is the time after the start of a control host that replaces a lost one within which the control
 	// group must again bear the loss of (MinVoters-1)/2 hosts. If zero, there is no such limit.
 	CatchUpTime time.Duration
@@ -171,18 +173,24 @@
 // checkChangeAllowed returns an error while the control group has fewer voters than MinVoters, because
 // a change would then be stored on too few hosts.
 func (d *Daemon) checkChangeAllowed() error {
-	voters := 0
-	for _, m := range d.replica.Status().Members {
-		if !m.Learner {
-			voters++
-		}
-	}
+	voters := len(d.voterAddrs())
 	if voters < d.options.Deployment.MinVoters {
 		return fmt.Errorf("%w: have %d, want at least %d", errTooFewVoters, voters, d.options.Deployment.MinVoters)
 	}
 	return nil
 }
 
+// voterAddrs returns the addresses of the control group's voters.
+func (d *Daemon) voterAddrs() []string {
+	var addrs []string
+	for _, m := range d.replica.Status().Members {
+		if !m.Learner {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	return addrs
+}
+
 // controlAddrs returns the addresses of the control group's members.
 func (d *Daemon) controlAddrs() []string {
 	var addrs []string
