control: find cut primaries after a change of leader

Cause: a leader that is elected while a place is cut off has neither registrations of the primaries there nor renewals of their holders, and counted them as not silent until their leases had ended and another host had found out. Change: at a new leader a target counts as registered at the election. While it is probed and has no holder, only the probe tells whether it is back. Result: TestPrimaryLostWithItsHolder and TestCutPrimaryGetsNoHolderWhileProbed have the case; both fail without it.

--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -110,6 +110,11 @@
 	leader.hosts["h"].renewedAt = start
 	leader.registrations["db"].receivedAt = now
 	is.True(!leader.targetAndHolderSilent(now, "db"))
+
+	leader = newLeaderState(start, 2, true) // neither the target nor its holder reaches the next leader
+	leader.targetLeases.Assign(start, "db", placement.Record{Host: "h", BootID: "1", Epoch: 1})
+	is.True(!leader.targetAndHolderSilent(start.Add(registrationOverdue-1), "db"))
+	is.True(leader.targetAndHolderSilent(now, "db"))
 }
 
 // Guards against a service whose recorded primary has become a replica, as after a restart without its log, and that goes on
--- a/internal/control/places_test.go
+++ b/internal/control/places_test.go
@@ -216,6 +216,11 @@
 // Guards against a primary that is cut off together with its holder, and gets another holder while the leader still probes it:
 // that one would have to find out again that the primary doesn't answer, and get a lease that has to expire.
 func TestCutPrimaryGetsNoHolderWhileProbed(t *testing.T) {
+	t.Run("registered", func(t *testing.T) { testCutPrimary(t, true) })
+	t.Run("at a new leader", func(t *testing.T) { testCutPrimary(t, false) })
+}
+
+func testCutPrimary(t *testing.T, registered bool) {
 	is := is.New(t)
 	r := newPlacesTest(t)
 	for _, member := range r.Log.(testMember).consensus.members {
@@ -226,6 +231,9 @@
 	r.leader.targetLeases.Renew(r.clock.Now(), "p", "host-x", "1", true)
 	r.leader.hosts["host-x"] = &hostState{bootID: "1", place: "x", entry: true, renewedAt: r.clock.Now()}
 	for target := range r.Machine.Group("s").Members {
+		if target == "p" && !registered {
+			continue
+		}
 		r.leader.registrations[target] = &registration{receivedAt: r.clock.Now()}
 	}
 	advance := func(d time.Duration) { // only place x is cut
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -134,20 +134,26 @@
 		in.HolderReportsSilence = h.SilentFor >= silenceLimit
 		in.CommitsStalled = h.CommitStall >= commitStallLimit
 	}
-	in.HolderReportsSilence = in.HolderReportsSilence || leader.targetAndHolderSilent(now, record.Primary)
+	// While a primary without a holder is probed, only the probe can tell that it is back.
+	probedAlone := group.promotion.State() == "probing" && leader.targetLeases.Lease(record.Primary) == nil
+	in.HolderReportsSilence = in.HolderReportsSilence || leader.targetAndHolderSilent(now, record.Primary) || probedAlone
 	return in
 }
 
 // targetAndHolderSilent reports whether both a target and the holder of its lease have been silent for
 // so long that they may have failed together. A probe of the target then decides. Without this check the
 // failure would only be detected by the next holder. A target whose lease has ended has no holder that answers.
+// One that hasn't registered at this leader counts as registered at its election, as long as an earlier holder may have its lease.
 func (l *leaderState) targetAndHolderSilent(now time.Time, target string) bool {
-	targetLease, r := l.targetLeases.Lease(target), l.registrations[target]
-	if r == nil || now.Sub(r.receivedAt) < registrationOverdue {
+	targetLease, r, registeredAt := l.targetLeases.Lease(target), l.registrations[target], l.electedAt
+	if r != nil {
+		registeredAt = r.receivedAt
+	}
+	if now.Sub(registeredAt) < registrationOverdue {
 		return false
 	}
 	if targetLease == nil {
-		return true
+		return r != nil
 	}
 	h := l.hosts[targetLease.Host]
 	return h == nil || now.Sub(h.renewedAt) >= renewalOverdue
