--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -65,8 +65,11 @@
 		serverConf.TargetControl = o.TargetControl
 		serverConf.DrainTime = o.DrainTime
 		serverConf.RateTolerance = o.RateTolerance
+		serverConf.ColdTolerance = o.ColdTolerance
 		serverConf.ControlAddrs = d.controlAddrs
 		serverConf.CheckChangeAllowed = d.checkChangeAllowed
+		serverConf.PlacesToBear = o.PlacesToBear
+		serverConf.VoterAddrs = d.voterAddrs
 		serverConf.AcceptDetours = d.detours()
 	}
 	d.control = control.New(serverConf)
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -12,11 +12,13 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/agent"
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/control"
 	"github.com/citronrun/citronrun/internal/entry"
 	"github.com/citronrun/citronrun/internal/gateway"
 	"github.com/citronrun/citronrun/internal/holder"
+	"github.com/citronrun/citronrun/internal/placement"
 	"github.com/citronrun/citronrun/internal/ratelimit"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -41,6 +43,8 @@
 	NewCallerServer func(g *gateway.Gateway, logger log.Logger) CallerServer
 	// MinVoters is the least number of voting control hosts with which changes are accepted.
 	MinVoters int
+	// PlacesToBear is the number of places that may be lost at once.
+	PlacesToBear int
 	// CatchUpTime is the time after the start of a control host that replaces a lost one within which the control
 	// group must again bear the loss of (MinVoters-1)/2 hosts. If zero, there is no such limit.
 	CatchUpTime time.Duration
@@ -50,8 +54,13 @@
 	// MaxConfigAge is how long after its last confirmation by the control leader a host judges operations by its
 	// deployment. It must be below the time within which a new deployment has to be in force.
 	MaxConfigAge time.Duration
+	// EmptyPlaceTime is how long open transaction blocks may continue in a place that is emptied. If zero,
+	// holder.DefaultEmptyPlaceTime applies.
+	EmptyPlaceTime time.Duration
 	// RateTolerance is the amount of tokens that may be lent beyond the teams' rates and bursts.
 	RateTolerance control.RateTolerance
+	// ColdTolerance is how far the statements at a cold target may exceed its rate.
+	ColdTolerance control.ColdTolerance
 }
 
 const (
@@ -94,17 +103,19 @@
 // buildGateway creates the holder of targets, the gateway, and the listener for callers.
 func (d *Daemon) buildGateway() error {
 	targetHolder := holder.New(holder.Config{
-		Dialer:  d.options.Deployment.Dialer,
-		Leases:  d.agent,
-		Samples: &sampleClient{host: d.settings.Host, agent: d.agent, endpoint: d.endpoint, holder: func() *holder.Manager { return d.holder }},
-		Clock:   clock.BootTime{},
-		Logger:  d.logger,
-		Metrics: d.metrics,
+		Dialer:         d.options.Deployment.Dialer,
+		Leases:         d.agent,
+		EmptyPlaceTime: d.options.Deployment.EmptyPlaceTime,
+		Place:          d.place,
+		Samples:        &sampleClient{host: d.settings.Host, agent: d.agent, endpoint: d.endpoint, holder: func() *holder.Manager { return d.holder }},
+		Clock:          clock.BootTime{},
+		Logger:         d.logger,
+		Metrics:        d.metrics,
 	})
 	d.agent.OnTargetLeases(func(leases []agent.TargetLease) {
 		held := make([]holder.Lease, 0, len(leases))
 		for _, l := range leases {
-			held = append(held, holder.Lease{TargetGrant: l.TargetGrant, Revoked: l.Revoked})
+			held = append(held, holder.Lease{TargetGrant: l.TargetGrant, Revoked: l.Revoked, RenewedAt: l.ExpiresAt.Add(-placement.TTL)})
 		}
 		targetHolder.Apply(held)
 	})
@@ -131,6 +142,24 @@
 	return nil
 }
 
+// place returns what operators have ordered for a place, as far as this host knows.
+func (d *Daemon) place(name string) catalog.Place {
+	if snap := d.agent.Catalog(); snap != nil {
+		return snap.Catalog().Places[name]
+	}
+	return catalog.Place{}
+}
+
+// PlaceOrders returns the number of accepted orders to empty or refill a place that this host knows of. A control host may
+// learn of them from the replicated log or with a renewal.
+func (d *Daemon) PlaceOrders(place string) uint64 {
+	orders := d.place(place).Orders
+	if d.control != nil {
+		orders = max(orders, d.control.Machine.Catalog().Catalog.Places[place].Orders)
+	}
+	return orders
+}
+
 // gatewayDirectory adapts the agent to the interface of the gateway package.
 type gatewayDirectory struct{ *agent.Agent }
 
@@ -144,18 +173,24 @@
 // checkChangeAllowed returns an error while the control group has fewer voters than MinVoters, because
 // a change would then be stored on too few hosts.
 func (d *Daemon) checkChangeAllowed() error {
-	voters := 0
-	for _, m := range d.replica.Status().Members {
-		if !m.Learner {
-			voters++
-		}
-	}
+	voters := len(d.voterAddrs())
 	if voters < d.options.Deployment.MinVoters {
 		return fmt.Errorf("%w: have %d, want at least %d", errTooFewVoters, voters, d.options.Deployment.MinVoters)
 	}
 	return nil
 }
 
+// voterAddrs returns the addresses of the control group's voters.
+func (d *Daemon) voterAddrs() []string {
+	var addrs []string
+	for _, m := range d.replica.Status().Members {
+		if !m.Learner {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	return addrs
+}
+
 // controlAddrs returns the addresses of the control group's members.
 func (d *Daemon) controlAddrs() []string {
 	var addrs []string
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -17,6 +17,9 @@
 	// primaryReadCost is the penalty of the primary for a read that a replica can serve. It reserves the
 	// primary for statements that need it.
 	primaryReadCost = 15 * time.Millisecond
+	// coldTargetCost is the penalty of a target that has started a short time ago and bears little. It exceeds
+	// remotePlaceCost, so that targets in other places are preferred.
+	coldTargetCost = 200 * time.Millisecond
 	// pendingStatementCost is the expected wait for each statement that this host has in flight at a target.
 	pendingStatementCost = 5 * time.Millisecond
 	// waitDecay is the half-life of an announced queue wait.
@@ -80,7 +83,7 @@
 	var best wire.TargetRoute
 	bestCost := time.Duration(-1)
 	for _, route := range r.cfg.Directory.TargetsOf(req.service) {
-		if route.Holder == "" || req.primary && !route.Primary || route.Leaving && !route.Primary || tried[route.Target] {
+		if route.Holder == "" || req.primary && !route.Primary || route.Leaving && !route.Primary || tried[route.Target] || !r.usable(route) {
 			continue
 		}
 		cost := r.cost(now, route, req)
@@ -91,6 +94,23 @@
 	return best, bestCost >= 0
 }
 
+// usable reports whether a target may get work: its place isn't emptied.
+func (r *router) usable(route wire.TargetRoute) bool {
+	snap := r.cfg.Directory.Catalog()
+	return snap == nil || !snap.PlaceEmptied(route.Place)
+}
+
+// allEmptied reports whether all targets of a service are in emptied places, so that none will be usable soon.
+func (r *router) allEmptied(service string) bool {
+	routes := r.cfg.Directory.TargetsOf(service)
+	for _, route := range routes {
+		if r.usable(route) {
+			return false
+		}
+	}
+	return len(routes) > 0
+}
+
 // cost estimates the time to a reply from a target, with penalties for another place, for reads at the
 // primary and for targets to be avoided. mu is held.
 func (r *router) cost(now time.Time, route wire.TargetRoute, req requirement) time.Duration {
@@ -105,6 +125,9 @@
 	if route.Primary && !req.primary {
 		cost += primaryReadCost
 	}
+	if route.Cold {
+		cost += coldTargetCost
+	}
 	if now.Before(stats.avoidUntil) {
 		cost += time.Second
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/statement"
@@ -48,7 +49,8 @@
 	wire.TargetGrant
 	// Revoked means that running work is drained and no new work starts. The lease stays valid until it is
 	// returned or expires.
-	Revoked bool
+	Revoked   bool
+	RenewedAt time.Time // when the request for its latest renewal was sent
 }
 
 // Leases gives access to the leases of this host.
@@ -67,12 +69,16 @@
 
 // Config holds the dependencies of a Manager. Clock must keep running while the host is suspended.
 type Config struct {
-	Dialer  Dialer
-	Leases  Leases
-	Samples SampleSource
-	Clock   clock.Clock
-	Logger  log.Logger
-	Metrics *metrics.Set
+	Dialer Dialer
+	// Place returns what operators have ordered for a place, as far as this host knows. It may be nil.
+	Place func(name string) catalog.Place
+	// EmptyPlaceTime is how long open blocks may continue in a place that is emptied; 0: DefaultEmptyPlaceTime.
+	EmptyPlaceTime time.Duration
+	Leases         Leases
+	Samples        SampleSource
+	Clock          clock.Clock
+	Logger         log.Logger
+	Metrics        *metrics.Set
 }
 
 // replicaRetryDelays are the delays before a statement is sent again to a replica that has not reached the position that
@@ -90,6 +96,8 @@
 	// leaseDrainTimeout bounds open blocks after the lease was revoked. It is half of the shortest grace
 	// period of a shutdown, 6 s.
 	leaseDrainTimeout = 3 * time.Second
+	// DefaultEmptyPlaceTime bounds open blocks in a place that is emptied.
+	DefaultEmptyPlaceTime = 2 * time.Second
 	// reportThreshold is the silence of a target, or the stall of a commit, from which the target counts as
 	// unhealthy and a renewal is requested to report it. Health lists a target that can't be reached from the
 	// first failure on.
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -95,9 +95,9 @@
 		return errorReply(err)
 	}
 	defer ticket.Release()
-	if !t.valid(req.NeedsPrimary) {
+	if err := t.mayStart(req.NeedsPrimary); err != nil {
 		t.conns.put(c)
-		return errorReply(errLeaseEnded)
+		return errorReply(err)
 	}
 	res, err := t.exec(ctx, c, req.Statement, req.MinPosition, false)
 	if connBroken(err) {
@@ -137,7 +137,11 @@
 	startedAt := t.manager.cfg.Clock.Now()
 	running := t.recordStart(waitsForReplicas(st, inBlock))
 	res, err := c.Run(ctx, st, minPosition)
-	t.recordFinish(running, !connBroken(err))
+	t.recordFinish(running, !connBroken(err) && !refusedAsCold(err))
+	if refusedAsCold(err) {
+		t.manager.metrics.countOutcome(verdict.CodeTooBusy)
+		return res, err
+	}
 	t.manager.metrics.runSeconds.Update(t.manager.cfg.Clock.Now().Sub(startedAt).Seconds())
 	if connBroken(err) {
 		if ctx.Err() == nil {
@@ -191,9 +195,9 @@
 	t.mu.Unlock()
 	b.sem <- struct{}{}
 	defer func() { <-b.sem }()
-	if !t.valid(req.NeedsPrimary) {
+	if err := t.mayStart(req.NeedsPrimary); err != nil {
 		b.finish(true)
-		return errorReply(errLeaseEnded), nil
+		return errorReply(err), nil
 	}
 	if _, err := c.Run(ctx, req.Begin, req.MinPosition); err != nil {
 		b.finish(!connBroken(err))
@@ -257,6 +261,10 @@
 // runStatement runs a statement, and then pauses the ticket, which releases the slot until the next statement.
 // b.sem is held, and the ticket is not paused.
 func (b *Block) runStatement(ctx context.Context, st statement.Statement) wire.StatementReply {
+	if b.target.isClosedByOrder() {
+		b.finish(false)
+		return errorReply(errBlockAborted(errPlaceEmptied))
+	}
 	if st.Kind == statement.Commit && !b.target.valid(b.needsPrimary) {
 		b.finish(false)
 		return errorReply(errBlockAborted(errLeaseEnded))
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -11,12 +11,14 @@
 	"github.com/citronrun/citronrun/internal/admission"
 	"github.com/citronrun/citronrun/internal/contain"
 	"github.com/citronrun/citronrun/internal/verdict"
+	"github.com/citronrun/citronrun/internal/warmup"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
 var (
 	errLeaseEnded   = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the lease of the target has ended")
 	errTargetSilent = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the target is not responding")
+	errPlaceEmptied = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the place of the target is emptied")
 	errNotPrimary   = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host does not hold the primary right for the target")
 )
 
@@ -42,6 +44,10 @@
 	mu                sync.Mutex
 	grant             wire.TargetGrant
 	revokedAt         time.Time // zero: not revoked
+	limiter           *warmup.Limiter
+	cold              bool      // as last logged
+	placeOrders       uint64    // accepted orders for the place, as last seen
+	emptiedAt         time.Time // when the place was first found to be emptied; zero: it isn't
 	primaryRevokedAt  time.Time // zero: the primary right is not revoked, or already released
 	closed            bool
 	activeWork        int // admitted single statements and blocks that have not ended
@@ -65,8 +71,9 @@
 		blocks:         map[*Block]struct{}{},
 		primaryCancels: map[*context.CancelFunc]struct{}{},
 		running:        map[*runningStatement]struct{}{},
+		limiter:        warmup.New(m.cfg.Clock.Now()),
 	}
-	t.conns = &connPool{manager: m, dial: t.dial}
+	t.conns = &connPool{manager: m, dial: t.dial, broken: t.recordUncertain}
 	return t
 }
 
@@ -94,6 +101,7 @@
 		_ = level.Info(t.manager.logger).Log("msg", "target lease revoked", "target", t.name, "epoch", t.epoch, "work", t.activeWork)
 	}
 	t.grant = l.TargetGrant
+	t.recordColdness(now, l)
 }
 
 // dial opens a connection and records whether the target was reached.
@@ -101,6 +109,12 @@
 	t.mu.Lock()
 	grant := t.grant
 	t.mu.Unlock()
+	if t.conns.openCount() <= 1 { // no other connection would have shown a restart
+		t.recordUncertain()
+	}
+	if err := t.admit(); err != nil {
+		return nil, err
+	}
 	startedAt := t.manager.cfg.Clock.Now()
 	c, err := t.manager.cfg.Dialer.Dial(ctx, grant, team)
 	if err != nil {
@@ -113,20 +127,27 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "target %q is unreachable: %w", t.name, err)
 	}
 	t.recordContact()
-	return c, nil
+	return limitedConn{c, t}, nil
 }
 
 // beginWork admits a single statement or a block. endWork must be called when it has ended.
 func (t *target) beginWork(needsPrimary bool) error {
+	now := t.manager.cfg.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.recordPlace(now)
 	switch {
 	case t.closed, !t.revokedAt.IsZero():
 		return errLeaseEnded
+	case !t.emptiedAt.IsZero():
+		return errPlaceEmptied
 	case needsPrimary && !t.grant.Primary:
 		return errNotPrimary
-	case t.healthLocked(t.manager.cfg.Clock.Now()).SilentFor >= silenceLimit:
+	case t.healthLocked(now).SilentFor >= silenceLimit:
 		return errTargetSilent
+	case !t.limiter.HasRoom(now):
+		t.manager.metrics.coldRefusals.Inc()
+		return errTargetCold
 	}
 	t.activeWork++
 	if needsPrimary {
@@ -164,6 +185,50 @@
 	}
 }
 
+// mayStart returns an error if a statement that has waited for its turn must not be sent any more.
+func (t *target) mayStart(needsPrimary bool) error {
+	t.mu.Lock()
+	t.recordPlace(t.manager.cfg.Clock.Now())
+	emptied := !t.emptiedAt.IsZero()
+	t.mu.Unlock()
+	if emptied {
+		return errPlaceEmptied
+	}
+	if !t.valid(needsPrimary) {
+		return errLeaseEnded
+	}
+	return nil
+}
+
+// emptyingEnded reports whether the place has been emptied for so long that nothing may be sent to the target. mu is held.
+func (t *target) emptyingEnded(now time.Time) bool {
+	return !t.emptiedAt.IsZero() && now.Sub(t.emptiedAt) >= t.manager.cfg.EmptyPlaceTime
+}
+
+// isClosedByOrder reports whether nothing may be sent to the target any more because its place is emptied.
+func (t *target) isClosedByOrder() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.emptyingEnded(t.manager.cfg.Clock.Now())
+}
+
+// recordPlace records when the place of the target was emptied or refilled. A refilled target may have become cold. mu is held.
+func (t *target) recordPlace(now time.Time) {
+	place := t.manager.cfg.Place(t.grant.Place)
+	if place.Orders != t.placeOrders {
+		t.placeOrders = place.Orders
+		t.limiter.RecordUncertain(now)
+	}
+	if place.Emptied == !t.emptiedAt.IsZero() {
+		return
+	}
+	t.emptiedAt = time.Time{}
+	if place.Emptied {
+		t.emptiedAt = now
+	}
+	_ = level.Info(t.manager.logger).Log("msg", "place of target changed", "target", t.name, "place", t.grant.Place, "emptied", place.Emptied, "work", t.activeWork)
+}
+
 // valid reports whether the lease is valid now, and with needsPrimary whether it includes the primary right.
 func (t *target) valid(needsPrimary bool) bool {
 	t.mu.Lock()
@@ -210,11 +275,15 @@
 		t.manager.removeTarget(t)
 		return
 	}
+	t.mu.Lock()
+	t.recordPlace(now)
+	t.logColdness(now)
+	t.mu.Unlock()
 	t.enforceRevocation()
 	t.mu.Lock()
 	unhealthy := t.unhealthy(now)
 	due := unhealthy || t.grant.Primary && now.Sub(t.sampleAt) >= sampleInterval
-	poll := due && !t.polling && t.revokedAt.IsZero()
+	poll := due && !t.polling && t.revokedAt.IsZero() && !t.emptyingEnded(now)
 	t.polling = t.polling || poll
 	report := unhealthy && now.Sub(t.reportedAt) >= reportInterval
 	if report {
@@ -230,14 +299,14 @@
 }
 
 // enforceRevocation aborts blocks that outlast the drain timeout after the lease, or the primary right that
-// they need, was revoked, and returns what is drained. For the primary right it also cancels the running
+// they need, was revoked, or the place was emptied, and returns what is drained. For the primary right it also cancels the running
 // statements that need it; for the lease, running statements may continue until their own timeouts. At an
 // unhealthy target, work that needs the primary is aborted at once: it would not end in time, and a promotion
 // waits for it.
 func (t *target) enforceRevocation() {
 	now := t.manager.cfg.Clock.Now()
 	t.mu.Lock()
-	leaseOverdue := !t.revokedAt.IsZero() && now.Sub(t.revokedAt) >= leaseDrainTimeout
+	leaseOverdue := !t.revokedAt.IsZero() && now.Sub(t.revokedAt) >= leaseDrainTimeout || t.emptyingEnded(now)
 	primaryOverdue := !t.primaryRevokedAt.IsZero() && (now.Sub(t.primaryRevokedAt) >= primaryDrainTimeout || t.unhealthy(now))
 	var toAbort []*Block
 	for b := range t.blocks {
@@ -269,6 +338,7 @@
 	defer cancel()
 	c := t.conns.takeAnyIdle()
 	if c != nil && !c.Usable() {
+		t.recordUncertain()
 		t.conns.drop(c)
 		c = nil
 	}
@@ -281,7 +351,11 @@
 	sentAt := t.manager.cfg.Clock.Now()
 	running := t.recordStart(false)
 	pos, err := c.PollPosition(ctx)
-	t.recordFinish(running, !connBroken(err))
+	t.recordFinish(running, !connBroken(err) && !refusedAsCold(err))
+	if refusedAsCold(err) {
+		t.conns.put(c)
+		return
+	}
 	if connBroken(err) {
 		t.recordUnreachable(sentAt)
 		t.conns.drop(c)
