control: repeat a promotion order that isn't answered

An order without an answer took 2.5 s, a confirmation in vain 2 s more, and then an inspection and a new order. Each attempt now ends after 300 ms and is sent again unchanged, four times at most, unless the target has become the primary. The platform carries out equal orders to the same effect as one and refuses all copies once it has seen a higher token; a rejection after an attempt without an answer doesn't count as not run.

--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -16,7 +16,8 @@
 const (
 	inspectTimeout        = 400 * time.Millisecond // for one call to a target
 	inspectPrimaryTimeout = 200 * time.Millisecond // for the call to the recorded primary, which may not answer
-	orderTimeout          = 2500 * time.Millisecond
+	orderAttemptTimeout   = 300 * time.Millisecond // several times what the platform takes to accept an order
+	orderAttempts         = 4                      // of one order
 	confirmPrimaryTimeout = 2 * time.Second
 	confirmRetryInterval  = 50 * time.Millisecond
 )
@@ -313,15 +314,60 @@
 		_ = level.Warn(s.Logger).Log("msg", "promotion not ordered", "service", service, "target", choice.Target, "token", token, "err", err)
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	confirm := func(ctx context.Context) error { return s.confirmLeadership(ctx, leader) }
-	err := s.TargetControl.Promote(ctx, PromotionOrder{Service: service, Target: choice.Target, Token: token, Confirm: confirm})
+	order := PromotionOrder{Service: service, Target: choice.Target, Token: token, Confirm: confirm}
+	attempts, err := s.sendOrder(ctx, order, TargetRef{Service: service, Target: choice.Target, Addr: record.Members[choice.Target].Addr})
 	countPromotionOrder(err)
-	_ = level.Info(s.Logger).Log("msg", "promotion ordered", "service", service, "target", choice.Target, "token", token, "err", err)
+	_ = level.Info(s.Logger).Log("msg", "promotion ordered", "service", service, "target", choice.Target, "token", token, "attempts", attempts, "err", err)
 	return err != nil && (verdict.Of(err) == verdict.NotRun || s.Machine.Group(service).Contested)
 }
 
+// sendOrder sends a promotion order until it is answered or its target is the primary, orderAttempts times at most. An order
+// without an answer may be lost or carried out late. It is repeated unchanged: the platform carries out equal orders to the
+// same effect as one, and refuses all of them once it has seen a higher token. The error has the verdict NotRun only if no
+// attempt may be carried out.
+func (s *Server) sendOrder(ctx context.Context, order PromotionOrder, target TargetRef) (attempts int, err error) {
+	mayRun := false
+	for attempts < orderAttempts && ctx.Err() == nil {
+		attempts++
+		attemptErr := s.attemptOrder(ctx, order)
+		if attemptErr == nil {
+			return attempts, nil
+		}
+		if verdict.Of(attemptErr) == verdict.NotRun {
+			if !mayRun {
+				err = attemptErr
+			}
+			return attempts, err
+		}
+		err, mayRun = attemptErr, true
+		if s.isPrimary(ctx, target) { // perhaps by an earlier order: the platform may not have seen this token
+			return attempts, err
+		}
+	}
+	return attempts, err
+}
+
+// attemptOrder sends a promotion order once. An attempt without an answer lasts for orderAttemptTimeout also if its connection
+// is lost earlier.
+func (s *Server) attemptOrder(ctx context.Context, order PromotionOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
+	defer cancel()
+	err := s.TargetControl.Promote(ctx, order)
+	if err != nil && verdict.Of(err) != verdict.NotRun {
+		<-ctx.Done()
+	}
+	return err
+}
+
+// isPrimary queries a target once.
+func (s *Server) isPrimary(ctx context.Context, target TargetRef) bool {
+	ctx, cancel := context.WithTimeout(ctx, inspectPrimaryTimeout)
+	defer cancel()
+	state, err := s.TargetControl.State(ctx, target)
+	return err == nil && state.Primary
+}
+
 // confirmLeadership returns an error with the verdict NotRun unless this member still leads in the term of leader.
 func (s *Server) confirmLeadership(ctx context.Context, leader *leaderState) error {
 	if s.confirmedLeader(ctx) != leader {
--- a/internal/control/promote_test.go
+++ b/internal/control/promote_test.go
@@ -11,6 +11,7 @@
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/promotion"
+	"github.com/citronrun/citronrun/internal/verdict"
 )
 
 // Guards against an order without an answer that is carried out late, after the service has gone on with another primary: an
@@ -85,3 +86,58 @@
 	is.True(refused) // certainly not carried out
 	is.Equal(len(platform.sent), 1)
 }
+
+// lossyControl is a TargetControl whose answers to the first orders are lost.
+type lossyControl struct {
+	TargetControl
+	lost      int
+	carryOut  bool // orders without an answer are carried out
+	rejection error
+	orders    []PromotionOrder
+}
+
+func (c *lossyControl) State(context.Context, TargetRef) (TargetState, error) {
+	return TargetState{Primary: c.carryOut && len(c.orders) > 0}, nil
+}
+
+func (c *lossyControl) Promote(ctx context.Context, o PromotionOrder) error {
+	if err := o.Confirm(ctx); err != nil {
+		return err
+	}
+	o.Confirm = nil
+	if c.orders = append(c.orders, o); len(c.orders) <= c.lost {
+		return errOutcomeUnknown
+	}
+	return c.rejection
+}
+
+// Guards against a service without a primary for seconds because the answer to one order is lost, against a repetition under
+// another token or for another target, and against an order that counts as refused although its first copy may be carried out.
+func TestOrderWithoutAnswerIsRepeated(t *testing.T) {
+	rejected := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "rejected")
+	for name, test := range map[string]struct {
+		control  lossyControl
+		orders   int
+		answered bool
+	}{
+		"lost":           {lossyControl{lost: 2}, 3, true},
+		"carried out":    {lossyControl{lost: 9, carryOut: true}, 1, false},
+		"always lost":    {lossyControl{lost: 9}, orderAttempts, false},
+		"rejected":       {lossyControl{rejection: rejected}, 1, false},
+		"lost, rejected": {lossyControl{lost: 1, rejection: rejected}, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &test.control
+			s := &Server{Config: Config{TargetControl: c}}
+			order := PromotionOrder{Service: "s", Target: "a", Token: 7, Confirm: func(context.Context) error { return nil }}
+			attempts, err := s.sendOrder(t.Context(), order, TargetRef{Service: "s", Target: "a"})
+			is.Equal(attempts, test.orders)
+			is.Equal(err == nil, test.answered)
+			is.Equal(verdict.Of(err) == verdict.NotRun, test.control.lost == 0)
+			for _, o := range c.orders {
+				is.Equal(o, PromotionOrder{Service: "s", Target: "a", Token: 7})
+			}
+		})
+	}
+}
