agent: tokens don't wait for silent hosts

- A request for admission waited for a silent host of the place until the statement's deadline and then failed it.
It ends after 150 ms without a packet, and the host acquires the tokens itself.
- Requests for tokens looked for detours, and tried the direct way again, in turn with renewals.
They take the way that is known now, and fail at once while there is none.
- The search for a detour starved: a direct call of 300 ms made the next one due at once, since the 250 ms between them counted from its start.

--- a/internal/agent/borrow.go
+++ b/internal/agent/borrow.go
@@ -129,24 +129,14 @@
 	return due
 }
 
-// sendBorrow sends one Borrow call to the presumed leader, or to the next control host if it is unknown, and stores the
-// outcomes.
+// sendBorrow sends one Borrow call by the known way to control, or else fails at once, and stores the outcomes.
 func (a *Agent) sendBorrow(calls map[string]*borrowCall) {
-	to := a.nextControlTarget()
 	req, teams := a.newBorrow(calls)
-	req.Forward = to.asksToForward()
-	borrowCalls.Inc()
 	sent := a.Clock.Now()
 	var reply wire.TokenGrant
-	err := a.callControl(context.Background(), to, wire.KindBorrow, req, &reply)
-	switch {
-	case err != nil:
-		a.recordUnanswered(to)
-	case reply.NotLeader:
-		a.recordNotLeading(to, reply.LeaderAddr)
-		err = errNoLeader
-	default:
-		a.recordAnsweredCall(to, true)
+	err := errControlLost
+	if to, ok := a.knownControlTarget(); ok {
+		err = a.callBorrow(to, req, &reply)
 	}
 	grants := append([]wire.TokenGrant{reply}, reply.Others...)
 	a.mu.Lock()
@@ -169,6 +159,23 @@
 	}
 }
 
+// callBorrow sends a Borrow call and records what its outcome says about the way to control.
+func (a *Agent) callBorrow(to controlTarget, req *wire.Borrow, reply *wire.TokenGrant) error {
+	req.Forward = to.asksToForward()
+	borrowCalls.Inc()
+	err := a.callControl(context.Background(), to, wire.KindBorrow, req, reply)
+	switch {
+	case err != nil:
+		a.recordUnanswered(to)
+	case reply.NotLeader:
+		a.recordNotLeading(to, reply.LeaderAddr)
+		err = errNoLeader
+	default:
+		a.recordAnsweredCall(to, true)
+	}
+	return err
+}
+
 // newBorrow builds a Borrow call and returns the order of its teams.
 func (a *Agent) newBorrow(calls map[string]*borrowCall) (req *wire.Borrow, teams []string) {
 	a.mu.Lock()
--- a/internal/agent/detour.go
+++ b/internal/agent/detour.go
@@ -28,7 +28,7 @@
 // detourState is guarded by Agent.mu.
 type detourState struct {
 	unanswered int                  // calls to control hosts in a row without an answer
-	triedAt    time.Time            // when a control host was last called directly, once there are detourAfter unanswered calls
+	triedAt    time.Time            // when a control host was last called directly without an answer, or is called now
 	via        string               // address of the entry host through which control was reached; empty: none
 	searches   int                  // number of entry hosts asked while via was empty
 	refusedAt  map[string]time.Time // when entry hosts, by address, have last failed to forward a call
@@ -38,7 +38,11 @@
 // admission.
 const detourAvoidance = time.Second
 
-// detour returns the entry host to call instead of a control host, or "" if a control host should be called.
+// detourPatience bounds a call to an entry host. It acknowledges the call at once, however long it forwards it.
+var detourPatience = transport.Patience{Silence: 150 * time.Millisecond, Limit: patientTimeout}
+
+// detour returns the entry host to call instead of a control host, or "" if a control host should be called. Renewals
+// alone look for a way and try the direct one again, so that no statement waits for a host that doesn't answer.
 func (a *Agent) detour(now time.Time) string {
 	holders := a.Targets().holders
 	a.mu.Lock()
@@ -92,9 +96,8 @@
 		a.endDetour(now, to.addr)
 		return
 	}
-	if a.detours.unanswered++; a.detours.unanswered == detourAfter {
-		a.detours.triedAt = a.Clock.Now()
-	}
+	a.detours.unanswered++
+	a.detours.triedAt = now
 }
 
 // recordAnsweredCall records an answer. leads means that it came from the leader.
@@ -135,6 +138,22 @@
 	return a.detours.unanswered >= lostAfter && a.detours.via == ""
 }
 
+// knownControlTarget returns where to send a request that must not wait until a way to control has been found. It returns false
+// while none is known.
+func (a *Agent) knownControlTarget() (controlTarget, bool) {
+	a.mu.Lock()
+	search, via := a.Detours && a.detours.unanswered >= detourAfter, a.detours.via
+	a.mu.Unlock()
+	switch {
+	case !search:
+		return a.nextControlTarget(), true
+	case via != "":
+		return controlTarget{addr: via, forwards: true, detour: true}, true
+	default:
+		return controlTarget{}, false
+	}
+}
+
 // takesDetours reports whether this host asks other entry hosts because control hosts don't answer.
 func (a *Agent) takesDetours() bool {
 	a.mu.Lock()
@@ -145,18 +164,8 @@
 // forwardTarget returns where this host forwards a call of another host that has taken a number of detours before, or false
 // if it reaches no control host.
 func (a *Agent) forwardTarget(detours uint8) (controlTarget, bool) {
-	a.mu.Lock()
-	lost, via := a.Detours && a.detours.unanswered >= detourAfter, a.detours.via
-	a.mu.Unlock()
-	switch {
-	case !lost:
-		to := a.nextControlTarget()
-		return to, !to.detour
-	case via != "" && detours == 0:
-		return controlTarget{addr: via, forwards: true, detour: true}, true
-	default:
-		return controlTarget{}, false
-	}
+	to, ok := a.knownControlTarget()
+	return to, ok && (!to.detour || detours == 0)
 }
 
 // serveDetour forwards a renewal or a request for tokens of another host to the leader. The stream is reset if this host can't.
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -59,7 +59,10 @@
 // callControl calls a control host.
 func (a *Agent) callControl(ctx context.Context, to controlTarget, kind wire.Kind, req, reply any) error {
 	patience := callPatience
-	if to.first {
+	switch {
+	case to.detour:
+		patience = detourPatience
+	case to.first:
 		patience = firstPatience
 	}
 	return a.Transport.CallPatient(ctx, to.addr, patience, kind, req, reply)
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/relay"
+	"github.com/citronrun/citronrun/internal/rotation"
 	"github.com/citronrun/citronrun/internal/transport"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
@@ -86,6 +87,18 @@
 	return failed && now.Sub(failedAt) < d
 }
 
+// Rotation decides what this host does if it can't serve callers (see package rotation). Where a place has few hosts the leader
+// doesn't list them by place, and each may leave.
+func (a *Agent) Rotation() rotation.Decision {
+	a.mu.Lock()
+	hosts, byPlace := a.hostAddrs, a.placeHosts
+	a.mu.Unlock()
+	if !byPlace {
+		return rotation.Decision{Leave: true}
+	}
+	return rotation.Decide(a.Addr, hosts, a.Transport.Connected)
+}
+
 // RecordPeerFailure records that a host of the place has left a stream to it, or through it, without any answer.
 func (a *Agent) RecordPeerFailure(addr string) {
 	now := a.Clock.Now()
@@ -120,7 +133,7 @@
 	}
 	var reply wire.AdmitReply
 	heard := a.Transport.PacketsReceived(host)
-	if err := a.Transport.Call(ctx, host, wire.KindAdmit, wire.Admit{Team: team, Tokens: tokens}, &reply); err != nil {
+	if err := a.Transport.CallPatient(ctx, host, admitPatience, wire.KindAdmit, wire.Admit{Team: team, Tokens: tokens}, &reply); err != nil {
 		if a.Transport.PacketsReceived(host) == heard {
 			a.RecordPeerFailure(host)
 		}
@@ -139,9 +152,14 @@
 	return true, &verdict.Error{Verdict: verdict.NotRun, Code: reply.Code, Message: reply.Message}
 }
 
-// admitTimeout bounds the wait of a host that admits for another one. The other one gives up earlier.
+// admitTimeout bounds the wait of a host that admits for another one.
 const admitTimeout = 500 * time.Millisecond
 
+// admitPatience bounds a call to the host that admits for a team. After it the caller acquires the tokens itself, and they are
+// spent twice at worst. A host of the same place acknowledges a packet within a few milliseconds, or within a period of the
+// scheduler if it has used up its share of the processor.
+var admitPatience = transport.Patience{Silence: 150 * time.Millisecond, Limit: admitTimeout}
+
 // serveAdmit acquires tokens for another host of the place.
 func (a *Agent) serveAdmit(ctx context.Context, _ string, s transport.Stream) {
 	var req wire.Admit
--- a/internal/agent/tokens.go
+++ b/internal/agent/tokens.go
@@ -26,7 +26,7 @@
 	emptyBorrowTTL = 100 * time.Millisecond
 	// While no leader answers, requests wait for tokens only until controlWaitLimit after the last
 	// successful renewal, but for leaderSearchTime at least. The former covers a leader election and the search
-	// for the new leader, the latter that search.
+	// for the new leader, the latter that search. On a host that takes detours they don't wait once control is lost.
 	controlWaitLimit    = 5 * time.Second
 	leaderSearchTime    = 1 * time.Second
 	borrowRetryInterval = 20 * time.Millisecond
@@ -85,6 +85,9 @@
 	sawWaitingPeriod := false
 	started := a.Clock.Now()
 	for tries := 0; tries < maxBorrowTries; {
+		if a.takesDetours() && a.ControlLost() {
+			return noTokens(errControlLost)
+		}
 		call := a.joinBorrow(team, n)
 		select {
 		case <-call.done:
