--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -27,6 +27,8 @@
 	// Shutdown closes each session when it has no open transaction, and returns once all are closed. If
 	// ctx ends first, it closes the remaining sessions at once.
 	Shutdown(ctx context.Context) error
+	// SetShedding makes sessions close as soon as they are idle, or ends that.
+	SetShedding(on bool)
 	State() any
 }
 
