tunnel: reach targets and the platform through other control hosts

A control leader that couldn't reach the platform or a replica got no further, whoever else could. Whether a primary is alive is still asked directly.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -107,6 +107,20 @@
 	return groups
 }
 
+// HasTargetAddr reports whether a target of a deployed service has the address.
+func (m *Machine) HasTargetAddr(addr string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, group := range m.groups {
+		for _, member := range group.Members {
+			if member.Addr == addr {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // GroupNames returns the services that have a Group record, unordered.
 func (m *Machine) GroupNames() []string {
 	m.mu.RLock()
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -27,6 +27,8 @@
 	Service string
 	Target  string
 	Addr    string
+	// Direct means that a query asks whether this host itself reaches the target, so that no other host may pass it on.
+	Direct bool
 }
 
 // TargetState is a target's own view of its role and replication progress.
@@ -162,7 +164,9 @@
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
 			ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
 			defer cancel()
-			_, err := s.TargetControl.State(ctx, targetRef(record.Primary))
+			primary := targetRef(record.Primary)
+			primary.Direct = true
+			_, err := s.TargetControl.State(ctx, primary)
 			_ = level.Info(s.Logger).Log("msg", "silent primary probed", "service", service, "target", record.Primary, "err", err)
 			return func() { group.promotion.RecordProbe(err == nil) }
 		})
@@ -282,7 +286,10 @@
 		}
 	}
 	if _, ok := record.Members[record.Primary]; ok {
-		inspectTarget(record.Primary, inspectPrimaryTimeout, s.TargetControl.State)
+		inspectTarget(record.Primary, inspectPrimaryTimeout, func(ctx context.Context, t TargetRef) (TargetState, error) {
+			t.Direct = true // a primary that only other hosts reach stays fenced
+			return s.TargetControl.State(ctx, t)
+		})
 	}
 	wg.Wait()
 	d := inspection.Decide()
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -68,6 +68,7 @@
 		serverConf.ControlAddrs = d.controlAddrs
 		serverConf.CheckChangeAllowed = d.checkChangeAllowed
 		serverConf.AcceptDetours = d.detours()
+		d.openTunnels(machine)
 	}
 	d.control = control.New(serverConf)
 	return nil
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -39,6 +39,7 @@
 type Deployment struct {
 	Dialer        holder.Dialer
 	TargetControl control.TargetControl
+	Tunnels       *Tunnels // of control hosts; nil: none
 	// NewCallerServer returns the server for callers; it is called on entry hosts.
 	NewCallerServer func(g *gateway.Gateway, logger log.Logger) CallerServer
 	// MinVoters is the least number of voting control hosts with which changes are accepted.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -47,13 +47,14 @@
 	KindForwardedRenew                  // Renew that a control host forwards to the leader, answered by RenewReply
 	KindForwardedBorrow                 // Borrow that a control host forwards to the leader, answered by TokenGrant
 	KindRenewAll                        // RenewNow from the leader to a control host for the hosts whose renewals it forwards, no answer
+	KindTunnel                          // TunnelRequest, answered by TunnelReply; then bytes in both directions
 
 	KindCount // number of kinds, including the unused kind 0
 )
 
 // kindNames are the values of the label kind of metrics.
 var kindNames = [KindCount]string{"unknown", "renew", "borrow", "tx", "cancel", "raft", "change", "announce", "probe", "admin", "renew_now",
-	"statement", "register", "deployment", "aged_read", "sample", "relay", "admit", "forwarded_renew", "forwarded_borrow", "renew_all"}
+	"statement", "register", "deployment", "aged_read", "sample", "relay", "admit", "forwarded_renew", "forwarded_borrow", "renew_all", "tunnel"}
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string {
@@ -70,6 +71,16 @@
 	Kind Kind   `cbor:"2,keyasint"`
 }
 
+// TunnelRequest asks a control host to open a TCP connection to an address for the leader.
+type TunnelRequest struct {
+	Addr string `cbor:"1,keyasint"`
+}
+
+// TunnelReply says whether the connection is open.
+type TunnelReply struct {
+	Message string `cbor:"1,keyasint,omitempty"` // why it isn't; empty: it is open
+}
+
 // Header is the first message of each stream.
 type Header struct {
 	Version uint8 `cbor:"1,keyasint"`
