rotation: count silent hosts before their connections end

Whether others of a place may serve showed only once their silent connections were closed, 1.5 s after the last data. A host that has left a stream without any packet counts now; the order of the hosts that leave still goes by connections, which all hosts of a side see alike.

--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -90,13 +90,13 @@
 // Rotation decides what this host does if it can't serve callers (see package rotation). Where a place has few hosts the leader
 // doesn't list them by place, and each may leave.
 func (a *Agent) Rotation() rotation.Decision {
+	now := a.Clock.Now()
 	a.mu.Lock()
-	hosts, byPlace := a.hostAddrs, a.placeHosts
-	a.mu.Unlock()
-	if !byPlace {
+	defer a.mu.Unlock()
+	if !a.placeHosts {
 		return rotation.Decision{Leave: true}
 	}
-	return rotation.Decide(a.Addr, hosts, a.Transport.Connected)
+	return rotation.Decide(a.Addr, a.hostAddrs, a.Transport.Connected, func(host string) bool { return a.recentlyFailed(now, host) })
 }
 
 // RecordPeerFailure records that a host of the place has left a stream to it, or through it, without any answer.
--- a/internal/rotation/rotation.go
+++ b/internal/rotation/rotation.go
@@ -21,24 +21,25 @@
 	OthersServe bool // other hosts of its place may be able to serve its callers
 }
 
-// Decide decides for the host self. hosts are the addresses of all hosts of its place; reachable reports whether a host is on
-// the same side of a partition, so that it can't serve either.
-func Decide(self string, hosts []string, reachable func(host string) bool) Decision {
-	cut, rank, total := 1, 0, 1
+// Decide decides for the host self. hosts are the addresses of all hosts of its place. A host that is connected and not silent
+// is on the same side of a partition, so that it can't serve either. Whether a host is silent is known before its connection
+// ends, but not to all hosts at the same time, so it doesn't count in the order of the hosts that leave.
+func Decide(self string, hosts []string, connected, silent func(host string) bool) Decision {
+	others, rank, total := 0, 0, 1
 	for _, host := range hosts {
 		if host == self {
 			continue
 		}
 		total++
-		if !reachable(host) {
-			continue
+		isConnected := connected(host)
+		if !isConnected || silent(host) {
+			others++
 		}
-		cut++
-		if host < self {
+		if isConnected && host < self {
 			rank++
 		}
 	}
-	d := Decision{OthersServe: float64(total-cut) >= minOthers*float64(total)}
+	d := Decision{OthersServe: float64(others) >= minOthers*float64(total)}
 	d.Leave = !d.OthersServe || rank < int(maxLeaving*float64(total))
 	return d
 }
--- a/internal/rotation/rotation_test.go
+++ b/internal/rotation/rotation_test.go
@@ -8,6 +8,8 @@
 	"pgregory.net/rapid"
 )
 
+func noHost(string) bool { return false }
+
 // Guards against a place that a partition cuts in two and whose load balancer, left with fewer than half of the hosts, sends
 // callers to the larger part that can't serve them; and against hosts that stay in the rotation for nothing.
 func TestRotationKeepsHalf(t *testing.T) {
@@ -25,7 +27,7 @@
 		}
 		left := 0
 		for _, host := range hosts[:cut] {
-			if Decide(host, hosts, func(h string) bool { return sameSide[h] }).Leave {
+			if Decide(host, hosts, func(h string) bool { return sameSide[h] }, noHost).Leave {
 				left++
 			}
 		}
@@ -47,8 +49,18 @@
 func TestOrderOfListDoesNotMatter(t *testing.T) {
 	is := is.New(t)
 	near := func(h string) bool { return h < "d" }
-	d := Decide("b", []string{"a", "c", "d", "e"}, near)
-	is.Equal(d, Decide("b", []string{"e", "c", "b", "a", "d"}, near))
+	d := Decide("b", []string{"a", "c", "d", "e"}, near, noHost)
+	is.Equal(d, Decide("b", []string{"e", "c", "b", "a", "d"}, near, noHost))
 	is.True(d.OthersServe)
-	is.Equal(Decide("b", nil, near), Decision{Leave: true})
+	is.Equal(Decide("b", nil, near, noHost), Decision{Leave: true})
+}
+
+// Guards against hosts that leave as a whole, and stay without callers for seconds, until the connections to the other side end.
+func TestSilentHostsMayServe(t *testing.T) {
+	is := is.New(t)
+	hosts := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	all := func(string) bool { return true }
+	is.Equal(Decide("h", hosts, all, noHost), Decision{Leave: true})
+	is.Equal(Decide("h", hosts, all, func(h string) bool { return h < "d" }), Decision{OthersServe: true})
+	is.Equal(Decide("a", hosts, all, func(h string) bool { return h > "d" }), Decision{Leave: true, OthersServe: true})
 }
