--- a/internal/control/inspect.go
+++ b/internal/control/inspect.go
@@ -73,7 +73,10 @@
 	}
 	for _, target := range targets {
 		if target == record.Primary {
-			queryTarget(target, inspectPrimaryTimeout, s.TargetControl.State)
+			queryTarget(target, inspectPrimaryTimeout, func(ctx context.Context, t TargetRef) (TargetState, error) {
+				t.Direct = true // a primary that only other hosts reach stays fenced
+				return s.TargetControl.State(ctx, t)
+			})
 		} else {
 			queryTarget(target, inspectTimeout, pause)
 		}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -71,6 +71,7 @@
 		serverConf.PlacesToBear = o.PlacesToBear
 		serverConf.VoterAddrs = d.voterAddrs
 		serverConf.AcceptDetours = d.detours()
+		d.openTunnels(machine)
 	}
 	d.control = control.New(serverConf)
 	return nil
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -29,6 +29,8 @@
 	// Shutdown closes each session when it has no open transaction, and returns once all are closed. If
 	// ctx ends first, it closes the remaining sessions at once.
 	Shutdown(ctx context.Context) error
+	// SetShedding makes sessions close as soon as they are idle, or ends that.
+	SetShedding(on bool)
 	State() any
 }
 
@@ -39,6 +41,7 @@
 type Deployment struct {
 	Dialer        holder.Dialer
 	TargetControl control.TargetControl
+	Tunnels       *Tunnels // of control hosts; nil: none
 	// NewCallerServer returns the server for callers; it is called on entry hosts.
 	NewCallerServer func(g *gateway.Gateway, logger log.Logger) CallerServer
 	// MinVoters is the least number of voting control hosts with which changes are accepted.
