gateway, holder: decide at the queue whether a statement leaves its place

Cause: an entry host added 120 ms to each target in another place, whatever the way and the route need, and knew the wait at a target only from its own last statement there, at 80 hosts seconds ago. A target that failed part of its statements got them all the same.

Change: internal/spill gives a target's cost in parts: measured round trip, wait, statements in flight, likely failure, reserve and the cost of traffic between places, which is the operator's setting or a quarter of the route's latency objective, and never keeps a statement where it would be late. The request tells the queue wait from which another target is cheaper; the holder declines beyond it, and at a target that it judges as failing, save for probes. So only the excess of a place leaves it, and the other place takes no more than it serves sooner. Replies tell how long the holder had the statement, and whether the target fails.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -55,6 +55,13 @@
 	return g.queue.Load(name)
 }
 
+// ExpectedWait returns the estimated wait of a new request of a team, which has the given weight at the target.
+func (g *Gate) ExpectedWait(team, target string, share float64) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.ExpectedWait(target, team, share)
+}
+
 // Acquire waits for a slot and a connection. share is the weight of the team at the target. A request whose
 // expected wait exceeds the deadline is refused at once; a zero deadline means none. After that only ctx ends
 // the wait. Every error, including the one for an ended ctx, is a *verdict.Error with verdict NotRun.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -330,6 +330,19 @@
 	return time.Duration(tq.meanSlotTime * float64(time.Second))
 }
 
+// ExpectedWait returns the estimated wait of a new request of a team.
+func (q *Queue) ExpectedWait(targetName, teamName string, share float64) time.Duration {
+	tq := q.targets[targetName]
+	if tq == nil {
+		return 0
+	}
+	t := tq.teams[teamName]
+	if t == nil {
+		t = &team{share: share, virtualTime: tq.virtualTime, meanSlotTime: tq.meanSlotTime}
+	}
+	return q.expectedWait(tq, t)
+}
+
 // Load returns the number of running and waiting requests of a target, and its number of slots. An unknown
 // target has no requests and counts as having 1 slot.
 func (q *Queue) Load(name string) (requests, slots int) {
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -117,6 +117,7 @@
 	d.gateway = gateway.New(gateway.Config{
 		Place:           d.settings.Place,
 		MaxConfirmedAge: d.options.Deployment.MaxConfigAge,
+		TrafficCost:     (*time.Duration)(d.settings.PlaceTrafficCost),
 		Directory:       gatewayDirectory{d.agent},
 		Holders:         &holderClient{host: d.settings.Host, place: d.settings.Place, endpoint: d.endpoint, holder: targetHolder, agent: d.agent},
 		Clock:           clock.BootTime{},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,11 +55,14 @@
 	// MaxConfirmedAge is the greatest age of the last confirmation with which operations are judged by the
 	// deployment. Beyond it they are refused as unavailable, because a newer deployment may be in force.
 	MaxConfirmedAge time.Duration
-	Directory       Directory
-	Holders         HolderClient
-	Clock           clock.Clock
-	Logger          log.Logger
-	Metrics         *metrics.Set
+	// TrafficCost is the time that a statement must save to be sent to another place; nil: a share of the route's
+	// latency objective.
+	TrafficCost *time.Duration
+	Directory   Directory
+	Holders     HolderClient
+	Clock       clock.Clock
+	Logger      log.Logger
+	Metrics     *metrics.Set
 }
 
 const (
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/citronrun/citronrun/internal/spill"
 	"github.com/citronrun/citronrun/internal/statement"
 )
 
@@ -12,6 +13,8 @@
 	opened   *metrics.Counter
 	retries  *metrics.Counter
 	reroutes *metrics.Counter
+	declines *metrics.Counter                  // statements that the holder of a target has declined in favour of another one
+	sent     map[spill.Reason]*metrics.Counter // statements sent to a target, by why they stay in their place or leave it
 	latency  *metrics.Histogram
 }
 
@@ -20,11 +23,17 @@
 		set = metrics.NewSet()
 	}
 	set.NewGauge("citron_sessions", func() float64 { return float64(sessions()) })
+	sent := map[spill.Reason]*metrics.Counter{}
+	for _, reason := range spill.Reasons {
+		sent[reason] = set.NewCounter(`citron_statements_sent_total{reason="` + string(reason) + `"}`)
+	}
 	return &gatewayMetrics{
 		set:      set,
 		opened:   set.NewCounter("citron_sessions_opened_total"),
 		retries:  set.NewCounter("citron_statement_retries_total"),
 		reroutes: set.NewCounter("citron_statement_reroutes_total"),
+		declines: set.NewCounter("citron_statement_declines_total"),
+		sent:     sent,
 		latency:  set.NewHistogram("citron_statement_seconds"),
 	}
 }
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -7,22 +7,21 @@
 
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/position"
+	"github.com/citronrun/citronrun/internal/spill"
+	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
 const (
-	// remotePlaceCost is the penalty of a target in another place, as an equivalent queue wait: the network
-	// round trip, and the traffic on a metered link.
-	remotePlaceCost = 120 * time.Millisecond
 	// primaryReadCost is the penalty of the primary for a read that a replica can serve. It reserves the
 	// primary for statements that need it.
 	primaryReadCost = 15 * time.Millisecond
 	// pendingStatementCost is the expected wait for each statement that this host has in flight at a target.
 	pendingStatementCost = 5 * time.Millisecond
-	// waitDecay is the half-life of an announced queue wait.
-	waitDecay = 100 * time.Millisecond
 	// avoidDuration is how long a target is avoided after a lost reply, or after it was reported unavailable.
 	avoidDuration = 300 * time.Millisecond
+	// avoidedCost is the cost of a target that is avoided: only targets that are avoided as well are cheaper.
+	avoidedCost = time.Second
 )
 
 // router chooses targets by what their earlier replies reported. It is safe for concurrent use.
@@ -35,10 +34,10 @@
 
 // targetStats is what this host knows about a target from earlier statements.
 type targetStats struct {
-	announcedWait time.Duration
-	announcedAt   time.Time
-	pending       int // statements in flight from this host, single ones or the first of a block
-	avoidUntil    time.Time
+	announced  spill.Announced
+	pending    int // statements in flight from this host, single ones or the first of a block
+	avoidUntil time.Time
+	path       spill.Path
 }
 
 func newRouter(cfg Config) *router {
@@ -61,54 +60,100 @@
 	primary     bool
 	minPosition position.Position // of the target's log; zero if primary is set
 	maxAge      time.Duration     // of the data; 0 if primary is set
+	objective   time.Duration     // intended latency; 0: none
+	trafficCost time.Duration     // time that a statement must save to leave the place
+	// declined holds the targets whose holders have declined the statement, and the queue waits that they expected.
+	declined map[string]time.Duration
 }
 
 // requirementOf returns the requirement of a statement. A read that may return older data can run at a replica that has
-// reached minPosition.
-func requirementOf(route *catalog.Route, writes bool, minPosition position.Position) requirement {
+// reached minPosition. The trafficCost is the operator's, nil if it isn't set.
+func requirementOf(route *catalog.Route, writes bool, minPosition position.Position, trafficCost *time.Duration) requirement {
+	req := requirement{
+		service: route.Service, objective: route.LatencyObjective,
+		trafficCost: spill.TrafficCost(trafficCost, route.LatencyObjective, route.Timeout),
+	}
 	if writes || route.Mode == wire.ReadCurrent || route.MaxAge <= 0 {
-		return requirement{service: route.Service, primary: true}
+		req.primary = true
+	} else {
+		req.minPosition, req.maxAge = minPosition, route.MaxAge
 	}
-	return requirement{service: route.Service, minPosition: minPosition, maxAge: route.MaxAge}
+	return req
+}
+
+// choice is the target chosen for a statement.
+type choice struct {
+	wire.TargetRoute
+	reason spill.Reason
+	// declineAbove is the queue wait from which another target would be better; 0: none, or the holder has declined
+	// the statement before.
+	declineAbove time.Duration
 }
 
 // choose returns the usable target with the least cost, except those in tried, and whether there is one.
-func (r *router) choose(req requirement, tried map[string]bool) (wire.TargetRoute, bool) {
+func (r *router) choose(req requirement, tried map[string]bool) (choice, bool) {
+	routes, candidates := r.candidates(req, tried)
+	if len(routes) == 0 {
+		return choice{}, false
+	}
+	for i := range candidates {
+		candidates[i].Tie = time.Duration(rand.IntN(int(time.Millisecond)))
+	}
+	best, reason := spill.Choose(candidates, req.objective)
+	c := choice{TargetRoute: routes[best], reason: reason}
+	if _, declined := req.declined[c.Target]; !declined {
+		c.declineAbove = spill.DeclineAbove(candidates, best)
+	}
+	return c, true
+}
+
+// candidates returns the routes to the usable targets that are not in tried, and their costs.
+func (r *router) candidates(req requirement, tried map[string]bool) ([]wire.TargetRoute, []spill.Candidate) {
 	now := r.cfg.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var best wire.TargetRoute
-	bestCost := time.Duration(-1)
+	var routes []wire.TargetRoute
+	var candidates []spill.Candidate
 	for _, route := range r.cfg.Directory.TargetsOf(req.service) {
-		if route.Holder == "" || req.primary && !route.Primary || route.Leaving && !route.Primary || tried[route.Target] {
+		if tried[route.Target] || unusable(route, req) != "" {
 			continue
 		}
-		cost := r.cost(now, route, req)
-		if bestCost < 0 || cost < bestCost {
-			best, bestCost = route, cost
-		}
+		routes = append(routes, route)
+		candidates = append(candidates, r.candidate(now, route, req))
 	}
-	return best, bestCost >= 0
+	return routes, candidates
 }
 
-// cost estimates the time to a reply from a target, with penalties for another place, for reads at the
-// primary and for targets to be avoided. mu is held.
-func (r *router) cost(now time.Time, route wire.TargetRoute, req requirement) time.Duration {
-	stats := r.stats(route.Target)
-	cost := time.Duration(stats.pending) * pendingStatementCost
-	if waitAge := now.Sub(stats.announcedAt); waitAge < 8*waitDecay {
-		cost += stats.announcedWait >> uint(waitAge/waitDecay)
+// unusable returns why a target can't run a statement, or "".
+func unusable(route wire.TargetRoute, req requirement) string {
+	switch {
+	case route.Holder == "":
+		return "no host holds its lease"
+	case req.primary && !route.Primary:
+		return "not the primary"
+	case route.Leaving && !route.Primary:
+		return "leaving"
 	}
-	if route.Place != r.cfg.Place {
-		cost += remotePlaceCost
+	return ""
+}
+
+// candidate returns the cost of a target in its parts. mu is held.
+func (r *router) candidate(now time.Time, route wire.TargetRoute, req requirement) spill.Candidate {
+	stats := r.stats(route.Target)
+	c := spill.Candidate{Home: route.Place == r.cfg.Place}
+	c.Path = stats.path.RoundTrip(now)
+	c.InFlight = time.Duration(stats.pending) * pendingStatementCost
+	c.Wait = max(stats.announced.Wait(now), req.declined[route.Target])
+	if now.Before(stats.avoidUntil) {
+		c.Failures = avoidedCost
 	}
 	if route.Primary && !req.primary {
-		cost += primaryReadCost
+		c.Reserve = primaryReadCost
 	}
-	if now.Before(stats.avoidUntil) {
-		cost += time.Second
+	if !c.Home {
+		c.Parts = spill.ChargeTraffic(c.Parts, req.trafficCost, req.objective)
 	}
-	return cost + time.Duration(rand.IntN(int(time.Millisecond))) // spreads statements over targets of equal cost
+	return c
 }
 
 // recordSent records a statement that is sent to a target; recordReply must be called after it.
@@ -119,8 +164,8 @@
 }
 
 // recordReply records the end of a statement and the load reported with its reply. A nil reply means that none was
-// received; the target is then avoided for avoidDuration.
-func (r *router) recordReply(route wire.TargetRoute, reply *wire.StatementReply) {
+// received; the target is then avoided for avoidDuration. The elapsed time is the one since the statement was sent.
+func (r *router) recordReply(route wire.TargetRoute, reply *wire.StatementReply, elapsed time.Duration) {
 	now := r.cfg.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -130,18 +175,22 @@
 		stats.avoidUntil = now.Add(avoidDuration)
 		return
 	}
-	stats.recordLoad(now, reply)
+	if reply.Code != verdict.CodeDeclined { // which reports the wait of one team
+		stats.announced.Record(now, reply.ExpectedQueueWait)
+	}
+	if reply.HeldFor > 0 {
+		stats.path.Record(now, elapsed-reply.HeldFor)
+	}
+	if reply.Failing {
+		stats.avoidUntil = now.Add(avoidDuration)
+	}
 }
 
 // recordBlockReply records the load reported with a reply within a block.
 func (r *router) recordBlockReply(route wire.TargetRoute, reply *wire.StatementReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stats(route.Target).recordLoad(r.cfg.Clock.Now(), reply)
-}
-
-func (s *targetStats) recordLoad(now time.Time, reply *wire.StatementReply) {
-	s.announcedWait, s.announcedAt = reply.ExpectedQueueWait, now
+	r.stats(route.Target).announced.Record(r.cfg.Clock.Now(), reply.ExpectedQueueWait)
 }
 
 // avoidForReads gives a target a high cost for avoidDuration, so that reads go to other ones.
@@ -156,5 +205,5 @@
 func (r *router) announcedWait(target string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.stats(target).announcedWait
+	return r.stats(target).announced.Last
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -22,7 +22,8 @@
 	st         statement.Statement
 	blockBegin *statement.Statement // BEGIN of the block whose first statement this is; otherwise nil
 	arrived    time.Time
-	tried      map[string]bool // targets to which the statement was sent and that are not chosen again
+	tried      map[string]bool          // targets to which the statement was sent and that are not chosen again
+	declined   map[string]time.Duration // targets whose holders have declined the statement, with the waits they expected
 }
 
 func (s *Session) runStatement(ctx context.Context, arrived time.Time, st statement.Statement) (statement.Result, error) {
@@ -131,11 +132,12 @@
 	run.tried = map[string]bool{}
 	for attempts := 0; ; {
 		req := run.requirement()
-		targetRoute, ok := g.router.choose(req, run.tried)
+		chosen, ok := g.router.choose(req, run.tried)
 		if !ok && !req.primary { // all replicas were tried; the primary has all data that they may lack
 			req.primary, req.minPosition, req.maxAge = true, position.Position{}, 0
-			targetRoute, ok = g.router.choose(req, nil)
+			chosen, ok = g.router.choose(req, nil)
 		}
+		targetRoute := chosen.TargetRoute
 		if !ok {
 			if lastErr == nil {
 				lastErr = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no usable target at present", run.route.Service)
@@ -146,8 +148,11 @@
 			run.tried = map[string]bool{}
 			continue
 		}
+		res, openBlock, err := run.send(ctx, chosen, req)
+		if err != nil && chosen.declineAbove > 0 && verdict.As(err).Code == verdict.CodeDeclined {
+			continue
+		}
 		attempts++
-		res, openBlock, err := run.send(ctx, targetRoute, req)
 		if err == nil {
 			return res, targetRoute, openBlock, nil
 		}
@@ -183,7 +188,19 @@
 	if run.route.Mode == wire.ReadMaxAge {
 		minPosition = position.Position{}
 	}
-	return requirementOf(run.route, writes, minPosition)
+	req := requirementOf(run.route, writes, minPosition, run.session.gateway.cfg.TrafficCost)
+	req.declined = run.declined
+	return req
+}
+
+// recordDecline records that the holder of a target has declined the statement, and the queue wait that it expects. Each
+// target may decline once.
+func (run *statementRun) recordDecline(target string, wait time.Duration) {
+	if run.declined == nil {
+		run.declined = map[string]time.Duration{}
+	}
+	run.declined[target] = wait
+	run.session.gateway.metrics.declines.Inc()
 }
 
 // retryable reports whether the statement may be sent again after an error: if nothing has run, or if it is a
@@ -201,8 +218,8 @@
 }
 
 // send sends the statement to one target.
-func (run *statementRun) send(ctx context.Context, targetRoute wire.TargetRoute, req requirement) (statement.Result, Block, error) {
-	g := run.session.gateway
+func (run *statementRun) send(ctx context.Context, chosen choice, req requirement) (statement.Result, Block, error) {
+	g, targetRoute := run.session.gateway, chosen.TargetRoute
 	remaining := run.route.Timeout - g.cfg.Clock.Now().Sub(run.arrived)
 	if remaining <= 0 {
 		return statement.Result{}, nil, verdict.New(verdict.NotRun, verdict.CodeTooBusy, "the timeout of %v has passed before the statement was sent", run.route.Timeout)
@@ -210,6 +227,7 @@
 	msg := wire.StatementRequest{
 		Target: targetRoute.Target, Team: run.team, Session: run.session.id, NeedsPrimary: req.primary, MinPosition: req.minPosition, MaxAge: req.maxAge,
 		SessionSettings: run.session.settings, Timeout: remaining, Priority: run.route.Priority, Statement: run.st,
+		DeclineAbove: chosen.declineAbove,
 	}
 	if run.blockBegin != nil {
 		msg.StartsBlock, msg.Begin = true, *run.blockBegin
@@ -222,9 +240,11 @@
 	defer cancel()
 	run.session.lastTeam, run.session.lastTarget = run.team, targetRoute.Target
 	g.router.recordSent(targetRoute.Target)
+	g.metrics.sent[chosen.reason].Inc()
+	sentAt := g.cfg.Clock.Now()
 	reply, openBlock, err := g.cfg.Holders.Start(ctx, targetRoute, msg)
 	if err != nil {
-		g.router.recordReply(targetRoute, nil)
+		g.router.recordReply(targetRoute, nil, 0)
 		if verdict.Of(err) == verdict.NotRun {
 			return statement.Result{}, nil, err
 		}
@@ -233,9 +253,11 @@
 		}
 		return statement.Result{}, nil, verdict.New(verdict.MayHaveRun, verdict.CodeOutcomeUnknown, "no reply from the holder of target %q: %w", targetRoute.Target, err)
 	}
-	g.router.recordReply(targetRoute, &reply)
+	g.router.recordReply(targetRoute, &reply, g.cfg.Clock.Now().Sub(sentAt))
 	if err := replyError(&reply); err != nil {
 		switch verdict.As(err).Code {
+		case verdict.CodeDeclined:
+			run.recordDecline(targetRoute.Target, reply.ExpectedQueueWait)
 		case verdict.CodeUnavailable, verdict.CodeReplicaBehind: // its holder has already waited for a replica that is a moment behind
 			g.router.avoidForReads(targetRoute.Target)
 		}
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -127,8 +127,12 @@
 	if t == nil {
 		return errorReply(verdict.New(verdict.NotRun, verdict.CodeUnavailable, "target %q is not held by this host", req.Target)), nil
 	}
+	arrivedAt := m.cfg.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
+	if reply, declined := t.decline(&req); declined {
+		return t.finishReply(reply, arrivedAt), nil
+	}
 	if err := m.applyMaxAge(ctx, t, &req); err != nil {
 		return errorReply(err), nil
 	}
@@ -141,7 +145,7 @@
 		reply, block = t.start(ctx, req)
 	}
 	t.addQueueWait(&reply)
-	return reply, block
+	return t.finishReply(reply, arrivedAt), block
 }
 
 // start runs a single statement, or the first statement of a block.
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -138,7 +138,9 @@
 	running := t.recordStart(waitsForReplicas(st, inBlock))
 	res, err := c.Run(ctx, st, minPosition)
 	t.recordFinish(running, !connBroken(err))
-	t.manager.metrics.runSeconds.Update(t.manager.cfg.Clock.Now().Sub(startedAt).Seconds())
+	ran := t.manager.cfg.Clock.Now().Sub(startedAt)
+	t.manager.metrics.runSeconds.Update(ran.Seconds())
+	t.recordOutcome(err, ran, ctx.Err() != nil)
 	if connBroken(err) {
 		if ctx.Err() == nil {
 			t.recordUnreachable(startedAt)
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronrun/citronrun/internal/admission"
 	"github.com/citronrun/citronrun/internal/contain"
+	"github.com/citronrun/citronrun/internal/outcome"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -55,6 +56,7 @@
 	sample            wire.Sample
 	sampleAt          time.Time // when the request for the sample was sent; zero: no sample
 	polling           bool      // a pollPosition is running
+	judge             outcome.Judge
 	reportedAt        time.Time // when a lease renewal was last requested for its health report
 }
 
@@ -109,6 +111,7 @@
 			return nil, err
 		}
 		t.recordUnreachable(startedAt)
+		t.recordOutcome(err, t.manager.cfg.Clock.Now().Sub(startedAt), ctx.Err() != nil)
 		_ = level.Info(t.manager.logger).Log("msg", "target not reached", "target", t.name, "addr", grant.Addr, "err", err)
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "target %q is unreachable: %w", t.name, err)
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -167,6 +167,9 @@
 			return fieldError(f.field, "is %s, want more than 0", f.value.Value())
 		}
 	}
+	if s.PlaceTrafficCost != nil && *s.PlaceTrafficCost < 0 {
+		return fieldError("place_traffic_cost", "is %s, want 0s or more", s.PlaceTrafficCost.Value())
+	}
 	if s.ShutdownDelay < 0 || s.ShutdownDelay >= s.ShutdownTimeout {
 		return fieldError("shutdown_delay", "is %s, want 0s up to less than shutdown_timeout", s.ShutdownDelay.Value())
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,10 @@
 	// ShutdownDelay is the time from the moment when the host reports itself as not ready until it hands
 	// its services over. By then the platform's load balancer must have stopped sending new callers.
 	ShutdownDelay Duration `json:"shutdown_delay"`
+
+	// PlaceTrafficCost is the time that a statement must save to be sent to another place; if missing, a share of
+	// the route's latency objective. It applies to the routes of a deployment.
+	PlaceTrafficCost *Duration `json:"place_traffic_cost"`
 }
 
 // Listen holds the addresses that a daemon listens on, as IP:PORT.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -56,6 +56,7 @@
 	CodeReplicaBehind    = "CR001" // the target's log does not reach the requested position
 	CodeWrongTarget      = "CR002" // a different target answers at this address
 	CodeStatementFailed  = "CR003" // the target reported that the statement failed
+	CodeDeclined         = "CR004" // the holder of a target expects another target to be better; never returned to callers
 )
 
 // Error is an error with a verdict and an SQLSTATE.
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -72,6 +72,9 @@
 	// MaxAge, if set, is the greatest age of the data at the time when the caller sent the statement. The holder knows
 	// positions of the primary's log by age, and raises MinPosition accordingly. Only in streams of kind KindAgedRead.
 	MaxAge time.Duration `cbor:"13,keyasint,omitempty"`
+	// DeclineAbove, if set, tells that the sender has another target for the statement. The holder declines it with
+	// verdict.CodeDeclined if the expected queue wait is longer, or if the target fails part of its statements.
+	DeclineAbove time.Duration `cbor:"14,keyasint,omitempty"`
 }
 
 func (r StatementRequest) worthCompressing() bool { return r.Compress }
@@ -94,6 +97,8 @@
 	Code              string           `cbor:"3,keyasint,omitempty"`
 	Message           string           `cbor:"4,keyasint,omitempty"`
 	ExpectedQueueWait time.Duration    `cbor:"5,keyasint,omitempty"` // expected queue wait of a new statement at the target
+	HeldFor           time.Duration    `cbor:"6,keyasint,omitempty"` // from the arrival of the request at the holder to the reply; only of a StatementRequest
+	Failing           bool             `cbor:"7,keyasint,omitempty"` // the target fails part of its statements
 	Compress          bool             `cbor:"-"`                    // copied from the answered request; not sent
 }
 
