citronctl: explain where an operation would go

Cause: an operator who asks why operations leave their place, or are refused, has to infer it from metrics of several hosts.

Change: GET /v1/explain at an entry host, and citronctl explain: the candidates with the parts of their costs, the limits with their state, the refusal. The answer comes from the functions that decide: routeOf, requirementFor, candidates, decide and the agent's checks before a rate token is borrowed; nothing is sent and no token is spent.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/gateway"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -53,10 +54,11 @@
 type Config struct {
 	Host    string
 	Backend Backend
-	Ready   func() error          // returns nil if the host can serve callers
-	State   map[string]func() any // sections of the state dump by name
-	Tokens  *Tokens               // nil if requests need no token
-	Metrics func() []*metrics.Set // additional metric sets; may be nil
+	Ready   func() error                                     // returns nil if the host can serve callers
+	State   map[string]func() any                            // sections of the state dump by name
+	Tokens  *Tokens                                          // nil if requests need no token
+	Explain func(gateway.Query) (gateway.Explanation, error) // nil if the host serves no deployment
+	Metrics func() []*metrics.Set                            // additional metric sets; may be nil
 	Logger  log.Logger
 }
 
@@ -86,6 +88,7 @@
 	mux.HandleFunc("GET /v1/watch", s.requireOperator(s.watch))
 	mux.HandleFunc("POST /v1/changes", s.requireOperator(s.change))
 	mux.HandleFunc("POST /v1/announce", s.requireOperator(s.announce))
+	mux.HandleFunc("GET /v1/explain", s.requireOperator(s.explain))
 	s.addLeaderRoutes(mux)
 	return mux
 }
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -102,11 +102,11 @@
 // admitKey is the prefix of the keys by which hosts choose who admits for a team. Addresses don't start with it.
 const admitKey = "team "
 
-// admitRemotely asks the host of this place that admits for a team for tokens. It reports false if that is this host, or
-// if that host doesn't answer; the caller then acquires the tokens itself.
-func (a *Agent) admitRemotely(ctx context.Context, team string, tokens int) (decided bool, err error) {
+// admittingHost returns the address of the host that borrows the tokens of a team for all hosts of the place, or "" if this
+// host borrows them itself.
+func (a *Agent) admittingHost(team string) string {
 	if team == catalog.OpenTeam {
-		return false, nil
+		return ""
 	}
 	a.mu.Lock()
 	hosts := a.hostAddrs
@@ -114,7 +114,13 @@
 		hosts = nil
 	}
 	a.mu.Unlock()
-	host := a.choosePeer(hosts, admitKey+team)
+	return a.choosePeer(hosts, admitKey+team)
+}
+
+// admitRemotely asks the host of this place that admits for a team for tokens. It reports false if that is this host, or
+// if that host doesn't answer; the caller then acquires the tokens itself.
+func (a *Agent) admitRemotely(ctx context.Context, team string, tokens int) (decided bool, err error) {
+	host := a.admittingHost(team)
 	if host == "" {
 		return false, nil
 	}
--- a/internal/agent/tokens.go
+++ b/internal/agent/tokens.go
@@ -141,8 +141,7 @@
 		return nil
 	}
 	a.mu.Lock()
-	last, ok := a.lastBorrow[team]
-	empty := ok && last.empty && last.retryAfter == 0 && a.Clock.Now().Sub(last.at) < emptyBorrowTTL
+	empty := a.reportedEmptyLocked(team)
 	if empty {
 		a.borrower.Spend(a.Clock.Now(), team, uint64(max(tokens, 0))) // fails, but counts as demand
 	}
@@ -154,6 +153,28 @@
 	return verdict.New(verdict.NotRun, verdict.CodeRateExceeded, "the rate of team %q is exceeded", team)
 }
 
+// reportedEmptyLocked reports whether the leader has reported an empty bucket for the team within emptyBorrowTTL.
+func (a *Agent) reportedEmptyLocked(team string) bool {
+	last, ok := a.lastBorrow[team]
+	return ok && last.empty && last.retryAfter == 0 && a.Clock.Now().Sub(last.at) < emptyBorrowTTL
+}
+
+// RateState describes how AcquireTokensFailFast would decide now on one token of a team. It spends none.
+func (a *Agent) RateState(team string) string {
+	if host := a.admittingHost(team); host != "" {
+		return "decided by the host " + host + ", which borrows for the place"
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.borrower.CanSpend(a.Clock.Now(), team, 1):
+		return "tokens at this host"
+	case a.reportedEmptyLocked(team):
+		return "refused: the leader has reported an empty bucket"
+	}
+	return "to be borrowed from the leader"
+}
+
 func noTokens(cause error) error {
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no rate tokens received from the control leader: %w", cause)
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -59,7 +59,7 @@
 func commands() []command {
 	return []command{
 		applyCommand, getCommand, diffCommand, labelCommand, keyCommand, statusCommand, membersCommand,
-		promoteCommand, drainCommand, forgetCommand, dumpCommand, watchCommand, certsCommand,
+		promoteCommand, drainCommand, forgetCommand, dumpCommand, watchCommand, explainCommand, certsCommand,
 	}
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -18,6 +18,9 @@
 
 	"github.com/citronrun/citronrun/internal/admin"
 	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/gateway"
+	"github.com/citronrun/citronrun/internal/position"
+	"github.com/citronrun/citronrun/internal/statement"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -263,3 +266,39 @@
 	is.Equal(code, ExitOK)
 	is.True(strings.Contains(out, `"catalog_revision": 7`))
 }
+
+// Guards against an explanation for another operation than the one asked for, and against output without the parts of the
+// costs.
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	var asked gateway.Query
+	s := admin.New(admin.Config{Host: "h", Logger: log.NewNopLogger(), Explain: func(q gateway.Query) (gateway.Explanation, error) {
+		asked = q
+		if q.Place == "y" {
+			return gateway.Explanation{}, errors.New("this host is in another place")
+		}
+		return gateway.Explanation{Target: "db-1", Holder: "e-2", Reason: "late", Declined: 41.5, Targets: []gateway.ExplainedTarget{
+			{Target: "db-1", Place: "y", Total: 63, Path: 8.5, Traffic: 54.5}, {Target: "db-2", Place: "x", Unusable: "leaving"},
+		}}, nil
+	}})
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	f := fixture{server: server}
+	code, out, errs := f.run("", "explain", "-team", "t", "-kind", "begin_read", "-place", "x", "-floor", "3/14", "orders")
+	is.Equal(errs, "")
+	is.Equal(code, ExitOK)
+	is.Equal(asked, gateway.Query{Database: "orders", Team: "t", Kind: statement.BeginRead, Place: "x", Floor: position.Position{Term: 3, Offset: 14}})
+	for _, part := range []string{"would go to db-1 at e-2", `"late"`, "41.5", "63.0", "8.5", "54.5", "leaving"} {
+		is.True(strings.Contains(out, part))
+	}
+	for _, args := range [][]string{{"-place", "y", "orders"}, {"-kind", "commit", "orders"}, {"-floor", "3", "orders"}} {
+		code, _, errs = f.run("", append([]string{"explain"}, args...)...)
+		is.Equal(code, ExitInvalid)
+		is.True(errs != "")
+	}
+	code, _, _ = f.run("", "explain")
+	is.Equal(code, ExitUsage)
+	code, _, errs = newFixture(t, nil).run("", "explain", "orders") // a control host
+	is.True(code != ExitOK)
+	is.True(strings.Contains(errs, "ask an entry host"))
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -18,6 +18,7 @@
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/entry"
+	"github.com/citronrun/citronrun/internal/gateway"
 	"github.com/citronrun/citronrun/internal/owner"
 	"github.com/citronrun/citronrun/internal/pki"
 	"github.com/citronrun/citronrun/internal/settings"
@@ -180,8 +181,13 @@
 	if conf != nil {
 		l = tls.NewListener(l, conf)
 	}
+	var explain func(gateway.Query) (gateway.Explanation, error)
+	if d.gateway != nil {
+		explain = d.gateway.Explain
+	}
 	d.admin = admin.New(admin.Config{
 		Host:    d.settings.Host,
+		Explain: explain,
 		Backend: d.agent,
 		Ready:   d.Ready,
 		State:   d.stateSections(),
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -8,6 +8,7 @@
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/spill"
+	"github.com/citronrun/citronrun/internal/statement"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -66,6 +67,16 @@
 	declined map[string]time.Duration
 }
 
+// requirementFor returns the requirement of a single statement, or of a block that starts with BEGIN, of a session with the
+// given floor on the route's service. unknownCommit tells that the position of the session's last commit is unknown.
+func requirementFor(route *catalog.Route, kind statement.Kind, floor position.Position, unknownCommit bool, trafficCost *time.Duration) requirement {
+	writes := kind != statement.Read && kind != statement.BeginRead || unknownCommit
+	if route.Mode == wire.ReadMaxAge {
+		floor = position.Position{}
+	}
+	return requirementOf(route, writes, floor, trafficCost)
+}
+
 // requirementOf returns the requirement of a statement. A read that may return older data can run at a replica that has
 // reached minPosition. The trafficCost is the operator's, nil if it isn't set.
 func requirementOf(route *catalog.Route, writes bool, minPosition position.Position, trafficCost *time.Duration) requirement {
@@ -99,12 +110,17 @@
 	for i := range candidates {
 		candidates[i].Tie = time.Duration(rand.IntN(int(time.Millisecond)))
 	}
+	return decide(req, routes, candidates), true
+}
+
+// decide chooses one of the candidates, of which there is at least one.
+func decide(req requirement, routes []wire.TargetRoute, candidates []spill.Candidate) choice {
 	best, reason := spill.Choose(candidates, req.objective)
 	c := choice{TargetRoute: routes[best], reason: reason}
 	if _, declined := req.declined[c.Target]; !declined {
 		c.declineAbove = spill.DeclineAbove(candidates, best)
 	}
-	return c, true
+	return c
 }
 
 // candidates returns the routes to the usable targets that are not in tried, and their costs.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -124,10 +124,7 @@
 // would come too late.
 func (run *statementRun) execute(ctx context.Context) (statement.Result, wire.TargetRoute, Block, error) {
 	g := run.session.gateway
-	waitLimit := defaultTargetWait
-	if run.route.LatencyObjective > 0 {
-		waitLimit = run.route.LatencyObjective / targetWaitDivisor
-	}
+	waitLimit := targetWaitLimit(run.route)
 	var lastErr error
 	run.tried = map[string]bool{}
 	for attempts := 0; ; {
@@ -140,7 +137,7 @@
 		targetRoute := chosen.TargetRoute
 		if !ok {
 			if lastErr == nil {
-				lastErr = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no usable target at present", run.route.Service)
+				lastErr = errNoTarget(run.route.Service)
 			}
 			if g.cfg.Clock.Now().Sub(run.arrived) >= waitLimit || !sleep(ctx, retryInterval) {
 				return statement.Result{}, targetRoute, nil, lastErr
@@ -177,18 +174,26 @@
 	}
 }
 
+func errNoTarget(service string) error {
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no usable target at present", service)
+}
+
+// targetWaitLimit returns how long a statement of a route may wait for a usable target.
+func targetWaitLimit(route *catalog.Route) time.Duration {
+	if route.LatencyObjective > 0 {
+		return route.LatencyObjective / targetWaitDivisor
+	}
+	return defaultTargetWait
+}
+
 // requirement returns what the statement requires of its target.
 func (run *statementRun) requirement() requirement {
 	kind := run.st.Kind
 	if run.blockBegin != nil {
 		kind = run.blockBegin.Kind
 	}
-	writes := kind != statement.Read && kind != statement.BeginRead || run.session.unknownCommits[run.route.Service]
-	minPosition := run.session.commitFloors[run.route.Service]
-	if run.route.Mode == wire.ReadMaxAge {
-		minPosition = position.Position{}
-	}
-	req := requirementOf(run.route, writes, minPosition, run.session.gateway.cfg.TrafficCost)
+	s, service := run.session, run.route.Service
+	req := requirementFor(run.route, kind, s.commitFloors[service], s.unknownCommits[service], s.gateway.cfg.TrafficCost)
 	req.declined = run.declined
 	return req
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -80,16 +80,9 @@
 // admit checks the session against the current deployment, and returns the route and the team of its next
 // operation.
 func (s *Session) admit() (*catalog.Route, string, error) {
-	if age := s.gateway.cfg.Directory.ConfirmedAge(); age > s.gateway.cfg.MaxConfirmedAge {
-		return nil, "", verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the control leader has not confirmed the deployment within %v", s.gateway.cfg.MaxConfirmedAge)
-	}
-	index := s.gateway.index()
-	route, ok := index.Route(s.database)
-	if !ok {
-		if index.Version() == 0 {
-			return nil, "", verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host has no deployment yet")
-		}
-		return nil, "", verdict.New(verdict.NotRun, verdict.CodeUnknownService, "database %q does not exist", s.database)
+	index, route, err := s.gateway.routeOf(s.database)
+	if err != nil {
+		return nil, "", err
 	}
 	if team, ok := index.TeamOf(s.keyDigest); ok && s.hasKey {
 		return route, team, nil
@@ -97,7 +90,25 @@
 	if route.Open {
 		return route, catalog.OpenTeam, nil
 	}
-	return nil, "", verdict.New(verdict.NotRun, verdict.CodeInvalidKey, "the key is unknown or was withdrawn")
+	return nil, "", errInvalidKey
+}
+
+var errInvalidKey = verdict.New(verdict.NotRun, verdict.CodeInvalidKey, "the key is unknown or was withdrawn")
+
+// routeOf returns the current deployment and its route for a database, or why none can be used.
+func (g *Gateway) routeOf(database string) (*catalog.Index, *catalog.Route, error) {
+	if age := g.cfg.Directory.ConfirmedAge(); age > g.cfg.MaxConfirmedAge {
+		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the control leader has not confirmed the deployment within %v", g.cfg.MaxConfirmedAge)
+	}
+	index := g.index()
+	route, ok := index.Route(database)
+	switch {
+	case ok:
+		return index, route, nil
+	case index.Version() == 0:
+		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host has no deployment yet")
+	}
+	return nil, nil, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "database %q does not exist", database)
 }
 
 // Status returns the transaction status between two statements.
