gateway: show how much leaves a place

Cause: nothing showed an operator that statements began to leave a place, or why.

Result: test over 160 s with shares from 0 to 70%: one line at each of the two strong changes.

--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -31,6 +31,7 @@
 
 	mu            sync.Mutex
 	statsByTarget map[string]*targetStats
+	share         spill.Share
 }
 
 // targetStats is what this host knows about a target from earlier statements.
@@ -116,6 +117,9 @@
 // decide chooses one of the candidates, of which there is at least one.
 func decide(req requirement, routes []wire.TargetRoute, candidates []spill.Candidate) choice {
 	best, reason := spill.Choose(candidates, req.objective)
+	if req.primary && reason == spill.NoHome {
+		reason = spill.Primary
+	}
 	c := choice{TargetRoute: routes[best], reason: reason}
 	if _, declined := req.declined[c.Target]; !declined {
 		c.declineAbove = spill.DeclineAbove(candidates, best)
@@ -172,6 +176,18 @@
 	return c
 }
 
+// recordPlace records whether a statement that a holder has accepted left its place, and returns the share that leaves and
+// whether it has changed strongly.
+func (r *router) recordPlace(reason spill.Reason) (share float64, strong bool) {
+	if reason == spill.NoHome || reason == spill.Primary {
+		return 0, false // had no choice
+	}
+	now := r.cfg.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.share.Record(now, reason != spill.Home)
+}
+
 // recordSent records a statement that is sent to a target; recordReply must be called after it.
 func (r *router) recordSent(target string) {
 	r.mu.Lock()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -150,6 +150,9 @@
 			continue
 		}
 		attempts++
+		if share, strong := g.router.recordPlace(chosen.reason); strong {
+			_ = level.Info(g.logger).Log("msg", "share of statements that leave the place changed", "place", g.cfg.Place, "share", share, "reason", chosen.reason)
+		}
 		if err == nil {
 			return res, targetRoute, openBlock, nil
 		}
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -74,10 +74,11 @@
 	Failing Reason = "failing" // the target at home fails part of its statements, or is unreachable
 	Late    Reason = "late"    // it would miss the route's objective at home
 	Sooner  Reason = "sooner"  // the time saved exceeds the cost of traffic
+	Primary Reason = "primary" // it needs the primary, which is in another place; Choose doesn't return it
 )
 
 // Reasons lists all reasons.
-var Reasons = []Reason{Home, NoHome, Failing, Late, Sooner}
+var Reasons = []Reason{Home, NoHome, Failing, Late, Sooner, Primary}
 
 // Choose returns the index of the candidate with the least cost and the reason of the choice. There must be at least
 // one candidate.
--- a/internal/spill/spill_test.go
+++ b/internal/spill/spill_test.go
@@ -68,6 +68,24 @@
 	})
 }
 
+// Guards against a line for each small change of the share, and against a strong change that no line shows.
+func TestStrongChangesOfShare(t *testing.T) {
+	is := is.New(t)
+	var s Share
+	now := time.Unix(1000, 0)
+	lines := 0
+	for i, leaving := range []int{0, 10, 20, 60, 70, 60, 0, 10} { // percent, for 20 s each
+		for n := range 400 {
+			now = now.Add(50 * ms)
+			if _, strong := s.Record(now, n%100 < leaving); strong {
+				lines++
+				is.True(i == 3 || i == 6)
+			}
+		}
+	}
+	is.Equal(lines, 2)
+}
+
 // Guards against a slow round trip that is remembered for ever, and against one that hides the way's own time.
 func TestPath(t *testing.T) {
 	is := is.New(t)
