holder: judge unanswered statements by the run time of answered ones

Cause: whether a missing response was overdue was judged by the mean slot time, which contains the statements that hang: after the first one the limit exceeded the time after which senders give up. A statement that was declined for its wait had used up the probe of a failing target.

Change: the judge keeps the mean run time of the statements that succeeded. The wait is judged before the probe. Choosing a target allocates one slice less.

Result: a test with a target that leaves statements unanswered; it failed with the mean slot time.

--- a/internal/holder/decline.go
+++ b/internal/holder/decline.go
@@ -12,10 +12,6 @@
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
-// unansweredSlotTimes is how many mean slot times a statement must have run to count as failed when its sender has
-// given up before the target responded.
-const unansweredSlotTimes = 8
-
 // decline reports whether the sender of a statement has a better target for it: if the queue wait that its team has to
 // expect exceeds DeclineAbove, or if the target is failing and the statement is not needed as a probe. It returns the
 // reply, whose ExpectedQueueWait is that of the team.
@@ -23,19 +19,15 @@
 	if req.DeclineAbove <= 0 {
 		return wire.StatementReply{}, false
 	}
-	now := t.manager.cfg.Clock.Now()
-	t.mu.Lock()
-	failing := t.judge.Failing() && (req.StartsBlock || req.Statement.Kind != statement.Read || !t.judge.Probe(now))
-	t.mu.Unlock()
 	wait := t.gate.ExpectedWait(req.Team, queueName, weight(req.Team, req.Priority))
 	var err error
 	switch {
-	case failing:
-		t.manager.metrics.declinedFailing.Inc()
-		err = errDeclinedFailing
 	case spill.Declines(wait, req.DeclineAbove):
 		t.manager.metrics.declinedWaits.Inc()
 		err = errDeclinedWait
+	case t.failing(req):
+		t.manager.metrics.declinedFailing.Inc()
+		err = errDeclinedFailing
 	default:
 		return wire.StatementReply{}, false
 	}
@@ -44,6 +36,17 @@
 	return reply, true
 }
 
+// failing reports whether the target is failing and the statement is not needed as a probe. Only single reads are: they
+// can be sent again.
+func (t *target) failing(req *wire.StatementRequest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.judge.Failing() {
+		return false
+	}
+	return req.StartsBlock || req.Statement.Kind != statement.Read || !t.judge.Probe(t.manager.cfg.Clock.Now())
+}
+
 var (
 	errDeclinedFailing = verdict.New(verdict.NotRun, verdict.CodeDeclined, "the target fails part of its statements")
 	errDeclinedWait    = verdict.New(verdict.NotRun, verdict.CodeDeclined, "another target has a shorter queue wait")
@@ -62,18 +65,22 @@
 // mistake of the sender are not counted. A statement whose sender has given up counts as failed only if a response was
 // overdue.
 func (t *target) recordOutcome(err error, ran time.Duration, gaveUp bool) {
-	failed := err != nil
 	if e, responded := errors.AsType[*verdict.Error](err); responded {
 		switch e.Code {
 		case verdict.CodeStatementFailed, verdict.CodeTimeout, verdict.CodeOutcomeUnknown:
 		default:
 			return
 		}
-	} else if failed && gaveUp && ran < unansweredSlotTimes*t.gate.MeanSlotTime(queueName) {
-		return
 	}
+	now := t.manager.cfg.Clock.Now()
 	t.mu.Lock()
-	changed := t.judge.Record(t.manager.cfg.Clock.Now(), failed)
+	changed := false
+	switch {
+	case err == nil:
+		changed = t.judge.RecordSuccess(now, ran)
+	case !connBroken(err) || !gaveUp || t.judge.Overdue(ran):
+		changed = t.judge.Record(now, true)
+	}
 	failing, share := t.judge.Failing(), t.judge.Failures()
 	t.mu.Unlock()
 	if changed {
--- a/internal/holder/decline_test.go
+++ b/internal/holder/decline_test.go
@@ -91,3 +91,31 @@
 		is.Equal(<-done, "")
 	}
 }
+
+// Load: a database leaves part of its statements without a response, and callers give up. Guards against a database that
+// never counts as failing since the caller was the one to end the statement, and against a healthy one that is blamed for
+// callers that leave early.
+func TestUnansweredStatementsAreFailures(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(3)
+	var ran time.Duration
+	answer := error(nil)
+	f.target.onRun = func(statement.Statement) error { f.clock.Advance(ran); return answer }
+	run := func() bool {
+		req := newRequest("t", statement.Read, "x", nil)
+		req.Timeout = 5 * time.Millisecond
+		reply, _ := f.Start(context.Background(), req)
+		return reply.Failing
+	}
+	ran = 20 * time.Millisecond
+	is.True(!run())
+	answer = errNoResponse
+	for range 6 {
+		is.True(!run()) // left while a response was not overdue
+	}
+	ran = 200 * time.Millisecond
+	for range 3 {
+		run()
+	}
+	is.True(run())
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -18,11 +18,15 @@
 	maxProbeInterval   = 2 * time.Second
 	// steadyTime is how long a target must not have failed for its probe interval to start again from the first one.
 	steadyTime = 10 * time.Second
+	// overdueFactor is how many mean run times a statement must have run without a response to count as failed when its
+	// sender has given up.
+	overdueFactor = 8
 )
 
 // Judge is the judgement on one target. The zero value is a healthy target without outcomes.
 type Judge struct {
-	failures float64 // moving share, 0 to 1
+	failures float64       // moving share, 0 to 1
+	meanRun  time.Duration // moving mean of the statements that succeeded; 0: none yet
 	failing  bool
 	run      int // successes in a row
 	interval time.Duration
@@ -31,6 +35,20 @@
 	failedAt time.Time // last failure
 }
 
+// RecordSuccess records a statement that has succeeded after the given time, and reports whether the judgement has changed.
+func (j *Judge) RecordSuccess(now time.Time, ran time.Duration) (changed bool) {
+	if j.meanRun == 0 {
+		j.meanRun = ran
+	}
+	j.meanRun += time.Duration(float64(ran-j.meanRun) * weight)
+	return j.Record(now, false)
+}
+
+// Overdue reports whether a statement that has run for the given time without a response should have had one.
+func (j *Judge) Overdue(ran time.Duration) bool {
+	return j.meanRun > 0 && ran >= overdueFactor*j.meanRun
+}
+
 // Record records the outcome of a statement and reports whether the judgement has changed.
 func (j *Judge) Record(now time.Time, failed bool) (changed bool) {
 	before, probed := j.failing, j.probing
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -83,7 +83,8 @@
 // Choose returns the index of the candidate with the least cost and the reason of the choice. There must be at least
 // one candidate.
 func Choose(candidates []Candidate, objective time.Duration) (int, Reason) {
-	best, home := cheapest(candidates, func(Candidate) bool { return true }), cheapest(candidates, func(c Candidate) bool { return c.Home })
+	best := cheapest(candidates, func(int) bool { return true })
+	home := cheapest(candidates, func(i int) bool { return candidates[i].Home })
 	switch {
 	case candidates[best].Home:
 		return best, Home
@@ -98,10 +99,11 @@
 	}
 }
 
-func cheapest(candidates []Candidate, allowed func(Candidate) bool) int {
+// cheapest returns the index of the allowed candidate with the least cost, or -1 if none is allowed.
+func cheapest(candidates []Candidate, allowed func(int) bool) int {
 	best := -1
 	for i, c := range candidates {
-		if allowed(c) && (best < 0 || c.Total()+c.Tie < candidates[best].Total()+candidates[best].Tie) {
+		if allowed(i) && (best < 0 || c.Total()+c.Tie < candidates[best].Total()+candidates[best].Tie) {
 			best = i
 		}
 	}
@@ -111,14 +113,12 @@
 // DeclineAbove returns the queue wait at the chosen candidate from which the best of the others is cheaper, although a
 // declined statement has lost one round trip. It returns 0 if there is no other candidate.
 func DeclineAbove(candidates []Candidate, chosen int) time.Duration {
-	others := make([]Candidate, 0, len(candidates))
-	others = append(append(others, candidates[:chosen]...), candidates[chosen+1:]...)
-	next := cheapest(others, func(Candidate) bool { return true })
+	next := cheapest(candidates, func(i int) bool { return i != chosen })
 	if next < 0 {
 		return 0
 	}
 	c := candidates[chosen]
-	return max(others[next].Total()-(c.Total()-c.Wait-c.InFlight)+c.Path, time.Millisecond)
+	return max(candidates[next].Total()-(c.Total()-c.Wait-c.InFlight)+c.Path, 1) // 0 would mean that there is none
 }
 
 // Declines reports whether a holder declines a statement with the given expected queue wait and DeclineAbove.
