--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -277,7 +277,7 @@
 		if q.Place == "y" {
 			return gateway.Explanation{}, errors.New("this host is in another place")
 		}
-		return gateway.Explanation{Target: "db-1", Holder: "e-2", Reason: "late", Declined: 41.5, Targets: []gateway.ExplainedTarget{
+		return gateway.Explanation{Target: "db-1", Holder: "e-2", Reason: "late", DeclineAboveMs: 41.5, Targets: []gateway.ExplainedTarget{
 			{Target: "db-1", Place: "y", Total: 63, Path: 8.5, Traffic: 54.5}, {Target: "db-2", Place: "x", Unusable: "leaving"},
 		}}, nil
 	}})
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -50,8 +50,8 @@
 	default:
 		fmt.Fprintf(e.out, "would go to %s at %s, reason %q\n", x.Target, x.Holder, x.Reason)
 	}
-	if x.Declined > 0 {
-		fmt.Fprintf(e.out, "its holder declines it, and it goes elsewhere, if it would wait longer than %.1f ms or the target is failing\n", x.Declined)
+	if x.DeclineAboveMs > 0 {
+		fmt.Fprintf(e.out, "its holder declines it, and it goes elsewhere, if it would wait longer than %.1f ms or the target is failing\n", x.DeclineAboveMs)
 	}
 	fmt.Fprintf(e.out, "place %s, deployment %d, service %s, primary needed: %v", x.Place, x.Version, cmp.Or(x.Service, "-"), x.Primary)
 	if x.MaxAgeMs > 0 {
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -29,19 +29,20 @@
 
 // Explanation tells where this host would send an operation now, and why.
 type Explanation struct {
-	Place    string            `json:"place"`
-	Version  uint64            `json:"deployment_version"`
-	Service  string            `json:"service,omitempty"`
-	Primary  bool              `json:"needs_primary"`
-	Floor    string            `json:"floor,omitempty"`      // position that a replica must have reached
-	MaxAgeMs float64           `json:"max_age_ms,omitempty"` // of the data
-	Refusal  string            `json:"refusal,omitempty"`    // with SQLSTATE and verdict; empty: it would be sent
-	Target   string            `json:"target,omitempty"`     // where it would go
-	Holder   string            `json:"holder,omitempty"`
-	Reason   string            `json:"reason,omitempty"` // a spill.Reason
-	Declined float64           `json:"declined_above_ms,omitempty"`
-	Limits   []Limit           `json:"limits"`
-	Targets  []ExplainedTarget `json:"targets"`
+	Place    string  `json:"place"`
+	Version  uint64  `json:"deployment_version"`
+	Service  string  `json:"service,omitempty"`
+	Primary  bool    `json:"needs_primary"`
+	Floor    string  `json:"floor,omitempty"`      // position that a replica must have reached
+	MaxAgeMs float64 `json:"max_age_ms,omitempty"` // of the data
+	Refusal  string  `json:"refusal,omitempty"`    // with SQLSTATE and verdict; empty: it would be sent
+	Target   string  `json:"target,omitempty"`     // where it would go
+	Holder   string  `json:"holder,omitempty"`
+	Reason   string  `json:"reason,omitempty"` // a spill.Reason
+	// DeclineAboveMs is the queue wait beyond which the holder would decline the operation; 0: it would not.
+	DeclineAboveMs float64           `json:"decline_above_ms,omitempty"`
+	Limits         []Limit           `json:"limits"`
+	Targets        []ExplainedTarget `json:"targets"`
 }
 
 // Limit is a limit that applies to the operation, and its state.
@@ -136,7 +137,7 @@
 		return
 	}
 	chosen := decide(req, routes, candidates)
-	e.Target, e.Holder, e.Reason, e.Declined = chosen.Target, chosen.Holder, string(chosen.reason), ms(chosen.declineAbove)
+	e.Target, e.Holder, e.Reason, e.DeclineAboveMs = chosen.Target, chosen.Holder, string(chosen.reason), ms(chosen.declineAbove)
 }
 
 func explainTarget(r wire.TargetRoute, req requirement, p spill.Parts) ExplainedTarget {
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -53,7 +53,7 @@
 			return
 		}
 		is.Equal(e.Target, h.sent[0].sentTo)
-		is.Equal(e.Declined > 0, h.sent[0].DeclineAbove > 0)
+		is.Equal(e.DeclineAboveMs > 0, h.sent[0].DeclineAbove > 0)
 	})
 }
 
