--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -142,7 +142,9 @@
 		t.manager.metrics.countOutcome(verdict.CodeTooBusy)
 		return res, err
 	}
-	t.manager.metrics.runSeconds.Update(t.manager.cfg.Clock.Now().Sub(startedAt).Seconds())
+	ran := t.manager.cfg.Clock.Now().Sub(startedAt)
+	t.manager.metrics.runSeconds.Update(ran.Seconds())
+	t.recordOutcome(err, ran, ctx.Err() != nil)
 	if connBroken(err) {
 		if ctx.Err() == nil {
 			t.recordUnreachable(startedAt)
