holder: prove positions without the primary, and don't ask replicas that are behind

Cause: a position sample was the answer of the primary to a query, so that replicas couldn't be read while it was silent or between two holders. Each read at a replica that was behind was refused by the database up to four times.

Change: the holder of the primary proves a bound of the acknowledged commits from the responses that it has passed on; it holds while nothing can be acknowledged, and stays a true statement afterwards. Holders of replicas ask each other if the holder of the primary has no newer sample.

--- a/internal/holder/health.go
+++ b/internal/holder/health.go
@@ -52,20 +52,38 @@
 	}
 }
 
-// recordSample keeps a position, received in response to a request sent at sentAt, as the newest sample of
-// the primary. The lease must still include the primary right: only then does the target's log contain
-// every commit that was acknowledged before sentAt.
-func (t *target) recordSample(sentAt time.Time, pos position.Position) {
-	if pos.IsZero() {
-		return
-	}
+// recordPosition records the position in the response to a request that was sent at sentAt. committed tells whether the
+// request can have committed something; its acknowledgement must follow the call.
+func (t *target) recordPosition(sentAt time.Time, pos position.Position, committed bool) {
+	now := t.manager.cfg.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.grant.Primary || !t.validInTerm(true, t.grant.Term) || !sentAt.After(t.sampleAt) {
+	t.bound.observe(now, sentAt, pos, committed)
+	t.confirmBound(now)
+	if pos.IsZero() {
 		return
 	}
-	t.sample = wire.Sample{Position: pos}
-	t.sampleAt = sentAt
+	if !t.grant.Primary {
+		t.progress.report(pos)
+	} else if sentAt.After(t.positionAt) {
+		t.positionAt = sentAt
+	}
+}
+
+// confirmBound records that the bound of acknowledged commits holds at now, if the primary right is still valid. mu is held.
+func (t *target) confirmBound(now time.Time) {
+	if t.grant.Primary && t.validInTerm(true, t.grant.Term) {
+		t.bound.confirm(now)
+	}
+}
+
+// keepBound passes the bound of acknowledged commits on to the samples of this host, before the target loses it. mu is
+// held.
+func (t *target) keepBound() {
+	now := t.manager.cfg.Clock.Now()
+	if s, ok := t.bound.sample(now); ok {
+		t.manager.samples.keep(t.service, now, s)
+	}
 }
 
 // addQueueWait adds the expected queue wait to a reply.
@@ -74,14 +92,14 @@
 	reply.ExpectedQueueWait = time.Duration(queued) * t.gate.MeanSlotTime(queueName) / time.Duration(max(slots, 1))
 }
 
-// newestSample returns the newest position sample, and whether there is one.
+// newestSample returns the newest position sample that this host can prove as the holder of the primary, and whether there
+// is one.
 func (t *target) newestSample() (wire.Sample, bool) {
+	now := t.manager.cfg.Clock.Now() // before the bound is read: commits that are acknowledged later need not be covered
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.sampleAt.IsZero() {
-		return wire.Sample{}, false
-	}
-	return wire.Sample{Position: t.sample.Position, Age: t.manager.cfg.Clock.Now().Sub(t.sampleAt)}, true
+	t.confirmBound(now)
+	return t.bound.sample(now)
 }
 
 // healthReport returns for how long the target has been silent, or a commit has been stalled.
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -75,13 +75,12 @@
 	Metrics *metrics.Set
 }
 
-// replicaRetryDelays are the delays before a statement is sent again to a replica that has not reached the position that
-// the statement requires. A replica is usually tens of milliseconds behind; another host would have to ask the primary.
-var replicaRetryDelays = []time.Duration{20 * time.Millisecond, 40 * time.Millisecond, 80 * time.Millisecond}
-
 const (
 	tickInterval = 100 * time.Millisecond
-	// sampleInterval is the age of a primary's newest position sample at which the primary is polled.
+	// replicaPatience bounds the wait of a read for a replica that has not reached the position that the read requires. A
+	// replica is usually tens of milliseconds behind; another host would have to ask the primary.
+	replicaPatience = 140 * time.Millisecond
+	// sampleInterval is the age of a primary's newest known position at which the primary is polled.
 	sampleInterval = 400 * time.Millisecond
 	pollTimeout    = 500 * time.Millisecond
 	// primaryDrainTimeout bounds work that needs the primary after the primary right was revoked. Blocks
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -132,38 +132,11 @@
 	if err := m.applyMaxAge(ctx, t, &req); err != nil {
 		return errorReply(err), nil
 	}
-	reply, block := t.start(ctx, req)
-	for _, delay := range replicaRetryDelays {
-		if reply.Code != verdict.CodeReplicaBehind || !sleep(ctx, delay) {
-			break
-		}
-		m.metrics.replicaRetries.Inc()
-		reply, block = t.start(ctx, req)
-	}
+	reply, block := t.startWhenReached(ctx, req)
 	t.addQueueWait(&reply)
 	return reply, block
 }
 
-// start runs a single statement, or the first statement of a block.
-func (t *target) start(ctx context.Context, req wire.StatementRequest) (wire.StatementReply, *Block) {
-	if req.StartsBlock {
-		return t.startBlock(ctx, req)
-	}
-	return t.runSingle(ctx, req), nil
-}
-
-// sleep sleeps for d and returns true, or returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // applyMaxAge raises the position that the target's log must have reached to that of a sample within the maximum age.
 func (m *Manager) applyMaxAge(ctx context.Context, t *target, req *wire.StatementRequest) error {
 	if req.NeedsPrimary || req.MaxAge <= 0 {
@@ -171,6 +144,7 @@
 	}
 	found, err := m.samples.positionWithin(ctx, t.service, req.MaxAge)
 	if err != nil {
+		m.metrics.refusedUnsampled.Inc()
 		return err
 	}
 	m.metrics.readAge.Update(m.cfg.Clock.Now().Sub(found.takenAt).Seconds())
@@ -178,13 +152,18 @@
 	return nil
 }
 
-// Sample returns the newest position sample of a target that this host holds as the primary, and whether there is one.
-func (m *Manager) Sample(target string) (wire.Sample, bool) {
-	t := m.lookup(target)
+// Sample returns the newest position sample of a service that this host knows, and whether there is one: its own, if it
+// holds the given target as the primary, or else one that it has fetched or that remains from an earlier primary.
+func (m *Manager) Sample(targetName, service string) (wire.Sample, bool) {
+	kept, known := m.samples.newest(service)
+	t := m.lookup(targetName)
 	if t == nil {
-		return wire.Sample{}, false
+		return kept, known
+	}
+	if s, ok := t.newestSample(); ok && (!known || s.Age <= kept.Age) {
+		return s, true
 	}
-	return t.newestSample()
+	return kept, known
 }
 
 // Serve executes the statements of one stream: a single statement or a block. Closing the stream must
@@ -217,7 +196,7 @@
 
 func errorReply(err error) wire.StatementReply {
 	e := verdict.As(err)
-	return wire.StatementReply{Verdict: uint8(e.Verdict), Code: e.Code, Message: e.Message}
+	return wire.StatementReply{Verdict: uint8(e.Verdict), Code: e.Code, Message: e.Message, RetryAfter: e.RetryAfter}
 }
 
 func resultReply(res statement.Result) wire.StatementReply { return wire.StatementReply{Result: res} }
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -48,13 +48,19 @@
 // on which the session's state has been set.
 func (t *target) acquire(ctx context.Context, req *wire.StatementRequest) (*admission.Ticket, *conn, error) {
 	enqueuedAt := t.manager.cfg.Clock.Now()
-	ticket, err := t.gate.Acquire(ctx, req.Team, queueName, weight(req.Team, req.Priority), enqueuedAt.Add(req.Timeout))
+	startWithin := req.Timeout
+	if req.StartWithin > 0 {
+		startWithin = min(startWithin, req.StartWithin)
+	}
+	waitCtx, stopWaiting := context.WithTimeout(ctx, startWithin)
+	ticket, err := t.gate.Acquire(waitCtx, req.Team, queueName, weight(req.Team, req.Priority), enqueuedAt.Add(startWithin))
+	stopWaiting()
 	queueWait := t.manager.cfg.Clock.Now().Sub(enqueuedAt)
 	t.manager.metrics.queueSeconds.Update(queueWait.Seconds())
 	if err != nil || queueWait >= longQueueWait {
 		queued, slots := t.gate.Load(queueName)
 		_ = level.Info(t.manager.logger).Log("msg", "statement queued long", "request", req.Statement.ID, "session", req.Session, "team", req.Team,
-			"target", t.name, "waited", queueWait.Round(time.Millisecond), "timeout", req.Timeout, "queued", queued, "slots", slots, "err", err)
+			"target", t.name, "waited", queueWait.Round(time.Millisecond), "timeout", startWithin, "queued", queued, "slots", slots, "err", err)
 	}
 	if err != nil {
 		return nil, nil, err
@@ -69,6 +75,11 @@
 		ticket.Release()
 		return nil, nil, asNotRun(err)
 	}
+	if err := ctx.Err(); err != nil { // the caller has left, or no time is left
+		t.conns.put(c)
+		ticket.Release()
+		return nil, nil, asNotRun(err)
+	}
 	return ticket, c, nil
 }
 
@@ -149,10 +160,11 @@
 	t.recordContact()
 	if err != nil {
 		t.manager.metrics.countOutcome(verdict.As(err).Code)
+		t.recordRefusal(err, minPosition, res.Position)
 		return res, err
 	}
 	t.manager.metrics.countOutcome("")
-	t.recordSample(startedAt, res.Position)
+	t.recordPosition(startedAt, res.Position, waitsForReplicas(st, inBlock))
 	return res, nil
 }
 
@@ -195,7 +207,8 @@
 		b.finish(true)
 		return errorReply(errLeaseEnded), nil
 	}
-	if _, err := c.Run(ctx, req.Begin, req.MinPosition); err != nil {
+	if res, err := c.Run(ctx, req.Begin, req.MinPosition); err != nil {
+		t.recordRefusal(err, req.MinPosition, res.Position)
 		b.finish(!connBroken(err))
 		return errorReply(asNotRun(err)), nil
 	}
--- a/internal/holder/samples.go
+++ b/internal/holder/samples.go
@@ -16,6 +16,9 @@
 	sampleRefreshInterval = 300 * time.Millisecond
 	// sampleFetchTimeout bounds the wait for a sample from the holder of the primary.
 	sampleFetchTimeout = 150 * time.Millisecond
+	// sampleRetryInterval is the least time from a fetch that brought no newer sample to the next one. Until then, reads that need a sample are
+	// refused at once.
+	sampleRetryInterval = 100 * time.Millisecond
 	// minSampleInterval is the least time between two samples of a service.
 	minSampleInterval = 100 * time.Millisecond
 	// maxSamples bounds the samples of a service. They cover 6.4 s, which is more than the maximum age of
@@ -91,6 +94,7 @@
 type serviceSamples struct {
 	primarySamples
 	fetching chan struct{} // closed when the running fetch ends; nil if none is running
+	failedAt time.Time     // end of the last fetch, if it brought no newer sample; otherwise zero
 }
 
 func newSampleStore(cfg Config) *sampleStore {
@@ -119,20 +123,47 @@
 	if found, ok = s.byService[service].oldestWithin(receivedAt, maxAge); ok {
 		return found, nil
 	}
-	return sample{}, verdict.New(verdict.NotRun, verdict.CodeReplicaBehind, "no position of the primary of service %q within %v is known", service, maxAge)
+	return sample{}, verdict.New(verdict.NotRun, verdict.CodePositionUnknown, "no position of the primary of service %q within %v is known", service, maxAge).WithRetryAfter(sampleRetryInterval)
 }
 
-// lookup returns the oldest sample within maxAge before now. If the newest sample is due for a refresh, it starts a
-// fetch. fetched is closed when the running fetch ends, and nil if none is running.
-func (s *sampleStore) lookup(ctx context.Context, service string, now time.Time, maxAge time.Duration) (found sample, ok bool, fetched <-chan struct{}) {
+// keep records a sample that is known at now.
+func (s *sampleStore) keep(service string, now time.Time, known wire.Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.samplesOf(service).add(now, known)
+}
+
+// newest returns the newest sample of a service, and whether there is one.
+func (s *sampleStore) newest(service string) (wire.Sample, bool) {
+	now := s.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	samples := s.byService[service]
+	if samples == nil || len(samples.kept) == 0 {
+		return wire.Sample{}, false
+	}
+	last := samples.kept[len(samples.kept)-1]
+	return wire.Sample{Position: last.pos, Age: now.Sub(last.takenAt)}, true
+}
+
+// samplesOf returns the samples of a service, which it creates if necessary. mu is held.
+func (s *sampleStore) samplesOf(service string) *serviceSamples {
 	samples := s.byService[service]
 	if samples == nil {
 		samples = &serviceSamples{}
 		s.byService[service] = samples
 	}
-	if samples.fetching == nil && now.Sub(samples.newest()) >= min(sampleRefreshInterval, maxAge/4) {
+	return samples
+}
+
+// lookup returns the oldest sample within maxAge before now. If the newest sample is due for a refresh, it starts a
+// fetch. fetched is closed when the running fetch ends, and nil if none is running.
+func (s *sampleStore) lookup(ctx context.Context, service string, now time.Time, maxAge time.Duration) (found sample, ok bool, fetched <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	samples := s.samplesOf(service)
+	due := now.Sub(samples.newest()) >= min(sampleRefreshInterval, maxAge/4) && now.Sub(samples.failedAt) >= sampleRetryInterval
+	if due && samples.fetching == nil {
 		samples.fetching = make(chan struct{})
 		go s.fetch(context.WithoutCancel(ctx), service, samples)
 	}
@@ -147,9 +178,13 @@
 	fetched, err := s.cfg.Samples.FetchSample(ctx, service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := samples.newest()
 	if err == nil {
 		samples.add(sentAt, fetched)
-	} else {
+	}
+	samples.failedAt = time.Time{}
+	if !samples.newest().After(before) {
+		samples.failedAt = s.cfg.Clock.Now()
 		samplesFailed.Inc()
 	}
 	close(samples.fetching)
--- a/internal/holder/target.go
+++ b/internal/holder/target.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronrun/citronrun/internal/admission"
 	"github.com/citronrun/citronrun/internal/contain"
+	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -49,13 +50,15 @@
 	blocks            map[*Block]struct{}
 	primaryCancels    map[*context.CancelFunc]struct{} // cancel running statements that need the primary
 	running           map[*runningStatement]struct{}
-	unreachableSince  time.Time // first failure to reach the target since its last response; zero: none
-	respondedAt       time.Time // last response of any kind
-	commitRespondedAt time.Time // last response to a commit
-	sample            wire.Sample
-	sampleAt          time.Time // when the request for the sample was sent; zero: no sample
-	polling           bool      // a pollPosition is running
-	reportedAt        time.Time // when a lease renewal was last requested for its health report
+	unreachableSince  time.Time       // first failure to reach the target since its last response; zero: none
+	respondedAt       time.Time       // last response of any kind
+	commitRespondedAt time.Time       // last response to a commit
+	bound             ackBound        // of acknowledged commits, while this host has the primary right
+	progress          replicaProgress // of the target's log, while it is a replica
+	checked           chan struct{}   // closed and replaced when a pollPosition ends
+	positionAt        time.Time       // when the request was sent whose response showed the newest position; zero: none in this term
+	polling           bool            // a pollPosition is running
+	reportedAt        time.Time       // when a lease renewal was last requested for its health report
 }
 
 func newTarget(m *Manager, l Lease) *target {
@@ -65,6 +68,7 @@
 		blocks:         map[*Block]struct{}{},
 		primaryCancels: map[*context.CancelFunc]struct{}{},
 		running:        map[*runningStatement]struct{}{},
+		checked:        make(chan struct{}),
 	}
 	t.conns = &connPool{manager: m, dial: t.dial}
 	return t
@@ -86,7 +90,13 @@
 		t.primaryRevokedAt = time.Time{}
 	}
 	if l.Primary != t.grant.Primary || l.Term != t.grant.Term {
-		t.sampleAt = time.Time{} // the sample is of an earlier primary or term
+		t.keepBound()
+		t.positionAt = time.Time{}
+		if l.Primary {
+			t.bound.gain(now)
+		} else {
+			t.bound.lose()
+		}
 		_ = level.Info(t.manager.logger).Log("msg", "primary of target changed", "target", t.name, "epoch", t.epoch, "primary", l.Primary, "term", l.Term)
 	}
 	if l.Revoked && t.revokedAt.IsZero() {
@@ -186,6 +196,7 @@
 	returnLease := !t.revokedAt.IsZero() && t.activeWork == 0 && !t.closed
 	if returnLease {
 		t.closed = true
+		t.keepBound()
 	}
 	t.mu.Unlock()
 	if releasePrimary {
@@ -212,8 +223,9 @@
 	}
 	t.enforceRevocation()
 	t.mu.Lock()
+	t.confirmBound(now)
 	unhealthy := t.unhealthy(now)
-	due := unhealthy || t.grant.Primary && now.Sub(t.sampleAt) >= sampleInterval
+	due := unhealthy || t.grant.Primary && now.Sub(t.positionAt) >= sampleInterval
 	poll := due && !t.polling && t.revokedAt.IsZero()
 	t.polling = t.polling || poll
 	report := unhealthy && now.Sub(t.reportedAt) >= reportInterval
@@ -259,9 +271,17 @@
 
 // pollPosition queries the position of the target, which also tests whether it responds.
 func (t *target) pollPosition(ctx context.Context) {
+	reached := position.Position{}
 	defer func() {
 		t.mu.Lock()
 		t.polling = false
+		if reached.IsZero() {
+			t.progress.checkFailed(t.manager.cfg.Clock.Now())
+		} else {
+			t.progress.checked(t.manager.cfg.Clock.Now(), reached)
+		}
+		close(t.checked)
+		t.checked = make(chan struct{})
 		t.mu.Unlock()
 	}()
 	defer contain.Recover(t.manager.logger, "holder", nil)
@@ -290,7 +310,8 @@
 	t.conns.put(c)
 	t.recordContact()
 	if err == nil {
-		t.recordSample(sentAt, pos)
+		t.recordPosition(sentAt, pos, false)
+		reached = pos
 	}
 }
 
@@ -302,6 +323,7 @@
 		return
 	}
 	t.closed = true
+	t.keepBound()
 	var toAbort []*Block
 	for b := range t.blocks {
 		toAbort = append(toAbort, b)
@@ -322,6 +344,6 @@
 	return TargetState{
 		Service: t.grant.Service, Epoch: t.epoch, Primary: t.grant.Primary, Term: t.grant.Term,
 		Revoked: !t.revokedAt.IsZero(), Connections: t.conns.openCount(), ActiveWork: t.activeWork,
-		SilentFor: h.SilentFor.Seconds(), CommitStall: h.CommitStall.Seconds(), Position: t.sample.Position.String(),
+		SilentFor: h.SilentFor.Seconds(), CommitStall: h.CommitStall.Seconds(), Position: t.bound.pos.Max(t.progress.reached).String(),
 	}
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Verdict tells whether a request may have run. The zero value is MayHaveRun, so an error without an
@@ -56,6 +57,7 @@
 	CodeReplicaBehind    = "CR001" // the target's log does not reach the requested position
 	CodeWrongTarget      = "CR002" // a different target answers at this address
 	CodeStatementFailed  = "CR003" // the target reported that the statement failed
+	CodePositionUnknown  = "CR004" // no position of the primary is known by which a replica could be judged recent enough
 )
 
 // Error is an error with a verdict and an SQLSTATE.
@@ -64,6 +66,8 @@
 	Code    string // SQLSTATE
 	Message string // returned to the caller; must not contain keys
 	Err     error  // cause, for logs only; may be nil
+	// RetryAfter is the time after which a retry may succeed, if known; otherwise 0. It is meaningful with NotRun only.
+	RetryAfter time.Duration
 }
 
 // New returns an Error with a message formatted as by fmt.Errorf. An error formatted with %w is the cause.
@@ -72,6 +76,12 @@
 	return &Error{Verdict: v, Code: code, Message: cause.Error(), Err: errors.Unwrap(cause)}
 }
 
+// WithRetryAfter sets the time after which a retry may succeed, and returns e.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
 // Error returns the message followed by the SQLSTATE and the verdict.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%s (SQLSTATE %s, verdict %s)", e.Message, e.Code, e.Verdict)
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -72,6 +72,8 @@
 	// MaxAge, if set, is the greatest age of the data at the time when the caller sent the statement. The holder knows
 	// positions of the primary's log by age, and raises MinPosition accordingly. Only in streams of kind KindAgedRead.
 	MaxAge time.Duration `cbor:"13,keyasint,omitempty"`
+	// StartWithin, if set, is how long the statement may wait for its start. Beyond that the caller prefers a refusal.
+	StartWithin time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 func (r StatementRequest) worthCompressing() bool { return r.Compress }
@@ -94,14 +96,19 @@
 	Code              string           `cbor:"3,keyasint,omitempty"`
 	Message           string           `cbor:"4,keyasint,omitempty"`
 	ExpectedQueueWait time.Duration    `cbor:"5,keyasint,omitempty"` // expected queue wait of a new statement at the target
-	Compress          bool             `cbor:"-"`                    // copied from the answered request; not sent
+	// RetryAfter is the time after which a statement that has not run may succeed at this target; 0: unknown.
+	RetryAfter time.Duration `cbor:"8,keyasint,omitempty"`
+	// Reached is the last known position of the target's log, if it lacks the position that the statement requires.
+	Reached  position.Position `cbor:"9,keyasint"`
+	Compress bool              `cbor:"-"` // copied from the answered request; not sent
 }
 
 func (r StatementReply) worthCompressing() bool { return r.Compress }
 
 // SampleQuery requests the newest position sample of a primary from its holder.
 type SampleQuery struct {
-	Target string `cbor:"1,keyasint"`
+	Target  string `cbor:"1,keyasint"`           // the primary, or a replica whose holder may know a sample
+	Service string `cbor:"2,keyasint,omitempty"` // of the target
 }
 
 // SampleReply answers a SampleQuery. Sample is nil if the holder has none.
