gateway: refuse at once what can't start within its objective

Cause: statements waited at a holder up to the timeout of their route, long after their callers had what they asked for or were gone; reads were given up after 300 ms while they waited there, and ended in doubt though no database had seen them; entry hosts went on sending to replicas that are behind, and to a target that had refused the same team.

Change: admission.Patience says how long a statement may wait, from the objective, the time spent and the measured time to a reply. The entry host, the queue of the holder and the moment before the send use it; refusals name the time to return.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -112,8 +112,8 @@
 	select {
 	case <-ready:
 	case <-ctx.Done():
-		if g.cancel(t.req.ID) {
-			return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "stopped waiting for a slot: %w", ctx.Err())
+		if expectedWait, ok := g.cancel(t.req); ok {
+			return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "stopped waiting for a slot: %w", ctx.Err()).WithRetryAfter(expectedWait)
 		}
 	}
 	g.mu.Lock()
@@ -141,15 +141,16 @@
 	return ready, nil
 }
 
-// cancel removes a waiting request. It returns false if the request was granted before.
-func (g *Gate) cancel(id uint64) bool {
+// cancel removes a waiting request and returns the expected wait of a new one. It returns false if the request was granted
+// before.
+func (g *Gate) cancel(req Request) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.queue.Cancel(id) {
-		return false
+	if !g.queue.Cancel(req.ID) {
+		return 0, false
 	}
-	delete(g.grants, id)
-	return true
+	delete(g.grants, req.ID)
+	return g.queue.ExpectedWait(req.Target, req.Team), true
 }
 
 // deliverGrants grants all requests that may run now and wakes their goroutines.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -171,11 +171,20 @@
 	wait := q.expectedWait(tq, t)
 	if now.Add(wait).After(r.Deadline) {
 		return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "expected wait of %v exceeds the %v left until the deadline",
-			wait.Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond))
+			wait.Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond)).WithRetryAfter(now.Add(wait).Sub(r.Deadline))
 	}
 	return nil
 }
 
+// ExpectedWait returns the expected wait of a new request of a team for a target.
+func (q *Queue) ExpectedWait(targetName, teamName string) time.Duration {
+	tq := q.targets[targetName]
+	if tq == nil {
+		return 0
+	}
+	return q.expectedWait(tq, tq.team(teamName))
+}
+
 // expectedWait estimates the wait of a new request: the time until one of the running statements ends, plus
 // that for the waiting requests ahead of it. With Fair, these are the team's own, which are served at the rate
 // of the team's share among the waiting teams, and those of each team that has used less of its share, until it has caught
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,8 +74,12 @@
 	// rateTokenWaitLimit bounds the wait for a rate token from the control leader.
 	rateTokenWaitLimit = 200 * time.Millisecond
 	// readAttemptTimeout is how long a read may take, beyond the queue wait that its target has announced,
-	// before it is cancelled and sent to another target. The longest statements take 170 ms.
+	// before it is cancelled and sent to another target.
 	readAttemptTimeout = 300 * time.Millisecond
+	// readRunTimeout is how long a read may take from its start to the reply.
+	readRunTimeout = 200 * time.Millisecond
+	// minStartWithin lets a statement start at once where a slot is free.
+	minStartWithin = time.Millisecond
 	// maxAttempts bounds how often one statement is sent.
 	maxAttempts = 4
 	// defaultBlockIdleTimeout applies to deployments that set no idle timeout.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,11 +8,12 @@
 
 // gatewayMetrics holds the metrics of sessions and statements.
 type gatewayMetrics struct {
-	set      *metrics.Set
-	opened   *metrics.Counter
-	retries  *metrics.Counter
-	reroutes *metrics.Counter
-	latency  *metrics.Histogram
+	set         *metrics.Set
+	opened      *metrics.Counter
+	retries     *metrics.Counter
+	reroutes    *metrics.Counter
+	refusedBusy *metrics.Counter // statements refused without a call, since the targets would refuse them
+	latency     *metrics.Histogram
 }
 
 func newGatewayMetrics(set *metrics.Set, sessions func() int) *gatewayMetrics {
@@ -21,11 +22,12 @@
 	}
 	set.NewGauge("citron_sessions", func() float64 { return float64(sessions()) })
 	return &gatewayMetrics{
-		set:      set,
-		opened:   set.NewCounter("citron_sessions_opened_total"),
-		retries:  set.NewCounter("citron_statement_retries_total"),
-		reroutes: set.NewCounter("citron_statement_reroutes_total"),
-		latency:  set.NewHistogram("citron_statement_seconds"),
+		set:         set,
+		opened:      set.NewCounter("citron_sessions_opened_total"),
+		retries:     set.NewCounter("citron_statement_retries_total"),
+		reroutes:    set.NewCounter("citron_statement_reroutes_total"),
+		refusedBusy: set.NewCounter("citron_statements_refused_early_total"),
+		latency:     set.NewHistogram("citron_statement_seconds"),
 	}
 }
 
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -39,6 +39,9 @@
 	announcedAt   time.Time
 	pending       int // statements in flight from this host, single ones or the first of a block
 	avoidUntil    time.Time
+	behind        replicaBehind
+	teamWaits     map[string]teamWait // by team
+	unqueuedTime  time.Duration       // mean time to a reply of statements that need not wait for a slot
 }
 
 func newRouter(cfg Config) *router {
@@ -151,10 +154,3 @@
 	defer r.mu.Unlock()
 	r.stats(target).avoidUntil = now.Add(avoidDuration)
 }
-
-// announcedWait returns the queue wait that was reported with the last reply from a target.
-func (r *router) announcedWait(target string) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.stats(target).announcedWait
-}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/citronrun/citronrun/internal/admission"
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/statement"
@@ -23,6 +24,9 @@
 	blockBegin *statement.Statement // BEGIN of the block whose first statement this is; otherwise nil
 	arrived    time.Time
 	tried      map[string]bool // targets to which the statement was sent and that are not chosen again
+	busy       map[string]bool // targets that have refused the statement because it would start too late
+	// onlyPrimary is set once no position is known by which a replica could be judged recent enough.
+	onlyPrimary bool
 }
 
 func (s *Session) runStatement(ctx context.Context, arrived time.Time, st statement.Statement) (statement.Result, error) {
@@ -116,7 +120,7 @@
 	if reply.Code == "" {
 		return nil
 	}
-	return &verdict.Error{Verdict: verdict.Verdict(reply.Verdict), Code: reply.Code, Message: reply.Message}
+	return &verdict.Error{Verdict: verdict.Verdict(reply.Verdict), Code: reply.Code, Message: reply.Message, RetryAfter: reply.RetryAfter}
 }
 
 // execute sends the statement to targets until one has run it, or until a retry could repeat an effect or
@@ -128,19 +132,20 @@
 		waitLimit = run.route.LatencyObjective / targetWaitDivisor
 	}
 	var lastErr error
-	run.tried = map[string]bool{}
+	run.tried, run.busy = map[string]bool{}, map[string]bool{}
 	for attempts := 0; ; {
 		req := run.requirement()
-		targetRoute, ok := g.router.choose(req, run.tried)
+		targetRoute, ok := g.router.choose(req, g.router.excluded(req, run, run.tried))
 		if !ok && !req.primary { // all replicas were tried; the primary has all data that they may lack
 			req.primary, req.minPosition, req.maxAge = true, position.Position{}, 0
-			targetRoute, ok = g.router.choose(req, nil)
+			targetRoute, ok = g.router.choose(req, g.router.excluded(req, run, nil))
 		}
 		if !ok {
-			if lastErr == nil {
-				lastErr = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no usable target at present", run.route.Service)
+			wait := g.router.untilAdmitted(run)
+			if lastErr == nil || wait > 0 && verdict.Of(lastErr) == verdict.NotRun {
+				lastErr = run.errNoTarget(wait)
 			}
-			if g.cfg.Clock.Now().Sub(run.arrived) >= waitLimit || !sleep(ctx, retryInterval) {
+			if len(run.busy) > 0 || run.elapsed()+max(wait, retryInterval) > waitLimit || !sleep(ctx, retryInterval) {
 				return statement.Result{}, targetRoute, nil, lastErr
 			}
 			run.tried = map[string]bool{}
@@ -152,11 +157,17 @@
 			return res, targetRoute, openBlock, nil
 		}
 		lastErr = err
-		if !run.retryable(err) || attempts >= maxAttempts || ctx.Err() != nil || g.cfg.Clock.Now().Sub(run.arrived) >= run.route.Timeout*3/4 {
+		if !run.retryable(err) || attempts >= maxAttempts || ctx.Err() != nil || run.elapsed() >= run.route.Timeout*3/4 {
 			return res, targetRoute, nil, err
 		}
 		g.metrics.retries.Inc()
 		run.tried[targetRoute.Target] = true
+		if e := verdict.As(err); e.Code == verdict.CodeTooBusy && e.RetryAfter > 0 {
+			run.busy[targetRoute.Target] = true
+		}
+		if verdict.As(err).Code == verdict.CodePositionUnknown {
+			run.onlyPrimary = true // the holder has asked those of the other replicas
+		}
 		_ = level.Info(g.logger).Log("msg", "statement retried", "request", run.st.ID, "session", run.session.id, "database", run.session.database,
 			"kind", run.st.Kind, "team", run.team, "target", targetRoute.Target, "holder", targetRoute.Holder, "primary", req.primary, "after", req.minPosition,
 			"code", verdict.As(err).Code, "err", verdict.As(err).Message)
@@ -164,7 +175,7 @@
 			// An attempt without a reply is repeated within the timeout of the route; a refusal only within
 			// the wait limit.
 			refused := verdict.Of(err) == verdict.NotRun
-			if refused && g.cfg.Clock.Now().Sub(run.arrived) >= waitLimit || !sleep(ctx, retryInterval) {
+			if refused && run.elapsed()+max(verdict.As(err).RetryAfter, retryInterval) > waitLimit || !sleep(ctx, retryInterval) {
 				return res, targetRoute, nil, err
 			}
 			run.tried = map[string]bool{}
@@ -172,13 +183,34 @@
 	}
 }
 
+// elapsed returns the time since the statement arrived.
+func (run *statementRun) elapsed() time.Duration {
+	return run.session.gateway.cfg.Clock.Now().Sub(run.arrived)
+}
+
+// startWithin returns how long the statement may still wait for its start at a target with the given time to a reply.
+func (run *statementRun) startWithin(unqueuedTime time.Duration) time.Duration {
+	patience := admission.Patience{Objective: run.route.LatencyObjective, Timeout: run.route.Timeout}
+	return patience.StartWithin(run.elapsed(), unqueuedTime)
+}
+
+// errNoTarget returns the error of a statement for which no target can be chosen. wait is the time until one may admit it, if
+// they are busy.
+func (run *statementRun) errNoTarget(wait time.Duration) error {
+	if wait > 0 {
+		run.session.gateway.metrics.refusedBusy.Inc()
+		return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "the targets of service %q are too busy to start a statement in time", run.route.Service).WithRetryAfter(wait)
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no usable target at present", run.route.Service)
+}
+
 // requirement returns what the statement requires of its target.
 func (run *statementRun) requirement() requirement {
 	kind := run.st.Kind
 	if run.blockBegin != nil {
 		kind = run.blockBegin.Kind
 	}
-	writes := kind != statement.Read && kind != statement.BeginRead || run.session.unknownCommits[run.route.Service]
+	writes := kind != statement.Read && kind != statement.BeginRead || run.session.unknownCommits[run.route.Service] || run.onlyPrimary
 	minPosition := run.session.commitFloors[run.route.Service]
 	if run.route.Mode == wire.ReadMaxAge {
 		minPosition = position.Position{}
@@ -203,7 +235,7 @@
 // send sends the statement to one target.
 func (run *statementRun) send(ctx context.Context, targetRoute wire.TargetRoute, req requirement) (statement.Result, Block, error) {
 	g := run.session.gateway
-	remaining := run.route.Timeout - g.cfg.Clock.Now().Sub(run.arrived)
+	remaining := run.route.Timeout - run.elapsed()
 	if remaining <= 0 {
 		return statement.Result{}, nil, verdict.New(verdict.NotRun, verdict.CodeTooBusy, "the timeout of %v has passed before the statement was sent", run.route.Timeout)
 	}
@@ -211,17 +243,25 @@
 		Target: targetRoute.Target, Team: run.team, Session: run.session.id, NeedsPrimary: req.primary, MinPosition: req.minPosition, MaxAge: req.maxAge,
 		SessionSettings: run.session.settings, Timeout: remaining, Priority: run.route.Priority, Statement: run.st,
 	}
+	announcedWait, unqueuedTime := g.router.expectedTimes(targetRoute.Target)
+	if run.route.LatencyObjective > 0 {
+		msg.StartWithin = max(run.startWithin(unqueuedTime), minStartWithin)
+	}
 	if run.blockBegin != nil {
 		msg.StartsBlock, msg.Begin = true, *run.blockBegin
 	}
 	limit := remaining + replyMargin
 	if run.st.Kind == statement.Read && run.blockBegin == nil {
-		limit = min(limit, readAttemptTimeout+g.router.announcedWait(targetRoute.Target))
+		limit = min(limit, readAttemptTimeout+announcedWait)
+		if msg.StartWithin > 0 {
+			msg.StartWithin = min(msg.StartWithin, max(limit-readRunTimeout, minStartWithin)) // so that the holder refuses the read before it is given up
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	run.session.lastTeam, run.session.lastTarget = run.team, targetRoute.Target
 	g.router.recordSent(targetRoute.Target)
+	sentAt := g.cfg.Clock.Now()
 	reply, openBlock, err := g.cfg.Holders.Start(ctx, targetRoute, msg)
 	if err != nil {
 		g.router.recordReply(targetRoute, nil)
@@ -236,11 +276,18 @@
 	g.router.recordReply(targetRoute, &reply)
 	if err := replyError(&reply); err != nil {
 		switch verdict.As(err).Code {
-		case verdict.CodeUnavailable, verdict.CodeReplicaBehind: // its holder has already waited for a replica that is a moment behind
+		case verdict.CodeTooBusy:
+			g.router.recordBusy(targetRoute.Target, run.team, msg.StartWithin, reply.RetryAfter)
+		case verdict.CodeUnavailable:
 			g.router.avoidForReads(targetRoute.Target)
+		case verdict.CodeReplicaBehind: // its holder has already waited for a replica that is a moment behind
+			g.router.recordBehind(targetRoute.Target, req, &reply)
 		}
 		return reply.Result, nil, err
 	}
+	if announcedWait == 0 && reply.ExpectedQueueWait == 0 {
+		g.router.recordUnqueuedTime(targetRoute.Target, g.cfg.Clock.Now().Sub(sentAt))
+	}
 	return reply.Result, openBlock, nil
 }
 
--- /dev/null
+++ b/internal/gateway/waits.go
@@ -0,0 +1,86 @@
+package gateway
+
+import "time"
+
+const (
+	// teamWaitLifetime is how long the expected wait of a team at a target is remembered.
+	teamWaitLifetime = 100 * time.Millisecond
+	// unqueuedTimeWeight is the weight of a new measurement in the mean time to a reply.
+	unqueuedTimeWeight = 0.1
+)
+
+// teamWait is the wait that a target expected at a given time for a new statement of a team.
+type teamWait struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// recordBusy records that a target refused a statement of a team that could have waited for startWithin, and would have
+// admitted it after retryAfter.
+func (r *router) recordBusy(target, team string, startWithin, retryAfter time.Duration) {
+	if retryAfter <= 0 {
+		return
+	}
+	now := r.cfg.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stats := r.stats(target)
+	for name, w := range stats.teamWaits {
+		if now.Sub(w.at) >= teamWaitLifetime {
+			delete(stats.teamWaits, name)
+		}
+	}
+	if stats.teamWaits == nil {
+		stats.teamWaits = map[string]teamWait{}
+	}
+	stats.teamWaits[team] = teamWait{wait: startWithin + retryAfter, at: now}
+}
+
+// untilAdmitted returns the time until the target may admit a statement, or 0 if it isn't known to refuse it.
+func (s *targetStats) untilAdmitted(now time.Time, run *statementRun) time.Duration {
+	w, ok := s.teamWaits[run.team]
+	if !ok || run.route.LatencyObjective <= 0 {
+		return 0
+	}
+	age := now.Sub(w.at)
+	if age >= teamWaitLifetime {
+		return 0
+	}
+	return max(w.wait-age-run.startWithin(s.unqueuedTime), 0)
+}
+
+// untilAdmitted returns the least time until a target of the statement's service that is known to be too busy may admit it,
+// or 0 if none is.
+func (r *router) untilAdmitted(run *statementRun) time.Duration {
+	now := r.cfg.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var least time.Duration
+	for _, route := range r.cfg.Directory.TargetsOf(run.route.Service) {
+		if wait := r.stats(route.Target).untilAdmitted(now, run); wait > 0 && (least == 0 || wait < least) {
+			least = wait
+		}
+	}
+	return least
+}
+
+// expectedTimes returns the queue wait that was reported with the last reply from a target, and the mean time to a reply of
+// statements that need not wait.
+func (r *router) expectedTimes(target string) (announcedWait, unqueuedTime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stats := r.stats(target)
+	return stats.announcedWait, stats.unqueuedTime
+}
+
+// recordUnqueuedTime records the time to a reply of a statement that need not wait for a slot.
+func (r *router) recordUnqueuedTime(target string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stats := r.stats(target)
+	if stats.unqueuedTime == 0 {
+		stats.unqueuedTime = d
+		return
+	}
+	stats.unqueuedTime += time.Duration(unqueuedTimeWeight * float64(d-stats.unqueuedTime))
+}
