admission: classes within a team, and stalls in the estimate

Cause: the requests of a team were served in order of arrival, so that a burst of slow requests of low priority held up the team's urgent ones. The expected wait came from requests that have ended: while a target had stalled, new ones were admitted and held until their time was over.

Change: within a team the priorities are classes that share its slot time by start-time fair queueing, with the weights that teams have had. While all slots are taken, the expected wait is at least the time since the target ended or took a request.

TestExpectedWait passes the request to the changed function, otherwise unchanged.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -178,7 +178,7 @@
 		for q.targets["a"].team("last").waiting() > 0 {
 			serve()
 		}
-		expected := q.expectedWait(q.targets["a"], q.targets["a"].team("last"))
+		expected := q.expectedWait(now, q.targets["a"], q.targets["a"].team("last"), Request{Share: shares["last"]})
 		start := now
 		enqueue("last")
 		for last := id; ; {
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -59,7 +59,12 @@
 // expected wait exceeds the deadline is refused at once; a zero deadline means none. After that only ctx ends
 // the wait. Every error, including the one for an ended ctx, is a *verdict.Error with verdict NotRun.
 func (g *Gate) Acquire(ctx context.Context, team, target string, share float64, deadline time.Time) (*Ticket, error) {
-	t := &Ticket{gate: g, req: Request{Target: target, Team: team, Share: share, Deadline: deadline}}
+	return g.AcquireFor(ctx, Request{Target: target, Team: team, Share: share, Deadline: deadline})
+}
+
+// AcquireFor is like Acquire for a request whose ID is not set.
+func (g *Gate) AcquireFor(ctx context.Context, req Request) (*Ticket, error) {
+	t := &Ticket{gate: g, req: req}
 	if err := t.wait(ctx); err != nil {
 		return nil, err
 	}
@@ -150,7 +155,7 @@
 		return 0, false
 	}
 	delete(g.grants, req.ID)
-	return g.queue.ExpectedWait(req.Target, req.Team), true
+	return g.queue.ExpectedWait(g.clock.Now(), req), true
 }
 
 // deliverGrants grants all requests that may run now and wakes their goroutines.
--- a/internal/admission/patience_test.go
+++ b/internal/admission/patience_test.go
@@ -53,3 +53,22 @@
 	is.Equal(verdict.As(err).Code, verdict.CodeTooBusy)
 	is.Equal(verdict.As(err).RetryAfter, 30*time.Millisecond)
 }
+
+// Load: a target that stops answering while requests arrive. Guards against an estimate from the requests that have ended: new
+// ones would be admitted and held until their time is over.
+func TestStalledTargetLetsNobodyWait(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(epoch)
+	g := NewGate(Config{}, clk)
+	g.SetTarget("a", 1, 10)
+	first, err := g.Acquire(t.Context(), "t", "a", 1, time.Time{})
+	is.NoErr(err)
+	clk.Advance(2 * time.Millisecond)
+	first.Release()
+	_, err = g.Acquire(t.Context(), "t", "a", 1, time.Time{}) // never ends
+	is.NoErr(err)
+	clk.Advance(150 * time.Millisecond)
+	_, err = g.Acquire(t.Context(), "t", "a", 1, clk.Now().Add(100*time.Millisecond))
+	is.Equal(verdict.As(err).Code, verdict.CodeTooBusy)
+	is.Equal(verdict.As(err).RetryAfter, 50*time.Millisecond)
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -54,6 +54,8 @@
 	Share    float64   // weight of the team from this request on; values of 0 or less count as 1
 	Deadline time.Time // for the start; zero: none
 	InBlock  bool
+	// Class separates the kinds of requests of a team: those that wait share its slot time by their Share.
+	Class int
 }
 
 // Queue holds waiting and running requests. It isn't safe for concurrent use.
@@ -69,8 +71,9 @@
 type targetQueue struct {
 	slots, conns         int
 	usedSlots, usedConns int
-	virtualTime          float64 // highest virtual time of a team at a grant, s
-	meanSlotTime         float64 // of a statement, s
+	virtualTime          float64   // highest virtual time of a team at a grant, s
+	progressAt           time.Time // last grant or end of a request
+	meanSlotTime         float64   // of a statement, s
 	teams                map[string]*team
 }
 
@@ -80,7 +83,7 @@
 	share         float64
 	meanSlotTime  float64          // of a statement, s
 	blockRequests []*queuedRequest // waiting requests inside transaction blocks
-	newRequests   []*queuedRequest // other waiting requests
+	newRequests   classQueues      // other waiting requests
 	running       int
 	conns         int
 }
@@ -93,6 +96,7 @@
 	arrival     uint64    // arrival number
 	started     time.Time // time of the grant
 	chargedTime float64   // virtual time charged at the grant from the team's mean slot time, s
+	classCharge float64   // slot time charged to the class at the grant, s
 }
 
 // NewQueue returns an empty Queue.
@@ -149,7 +153,7 @@
 	if r.InBlock {
 		t.blockRequests = append(t.blockRequests, qr)
 	} else {
-		t.newRequests = append(t.newRequests, qr)
+		t.newRequests.add(qr)
 	}
 	return nil
 }
@@ -168,7 +172,7 @@
 	if r.Deadline.IsZero() {
 		return nil
 	}
-	wait := q.expectedWait(tq, t)
+	wait := q.expectedWait(now, tq, t, r)
 	if now.Add(wait).After(r.Deadline) {
 		return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "expected wait of %v exceeds the %v left until the deadline",
 			wait.Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond)).WithRetryAfter(now.Add(wait).Sub(r.Deadline))
@@ -176,20 +180,23 @@
 	return nil
 }
 
-// ExpectedWait returns the expected wait of a new request of a team for a target.
-func (q *Queue) ExpectedWait(targetName, teamName string) time.Duration {
-	tq := q.targets[targetName]
+// ExpectedWait returns the expected wait of a new request like r.
+func (q *Queue) ExpectedWait(now time.Time, r Request) time.Duration {
+	tq := q.targets[r.Target]
 	if tq == nil {
 		return 0
 	}
-	return q.expectedWait(tq, tq.team(teamName))
+	if r.Share <= 0 {
+		r.Share = 1
+	}
+	return q.expectedWait(now, tq, tq.team(r.Team), r)
 }
 
 // expectedWait estimates the wait of a new request: the time until one of the running statements ends, plus
 // that for the waiting requests ahead of it. With Fair, these are the team's own, which are served at the rate
 // of the team's share among the waiting teams, and those of each team that has used less of its share, until it has caught
 // up.
-func (q *Queue) expectedWait(tq *targetQueue, t *team) time.Duration {
+func (q *Queue) expectedWait(now time.Time, tq *targetQueue, t *team, r Request) time.Duration {
 	if tq.usedSlots < tq.slots && tq.waiting() == 0 {
 		return 0
 	}
@@ -209,11 +216,15 @@
 		}
 		ahead += backlog
 	}
-	own := float64(t.waiting()) * t.meanSlotTime
+	own := (float64(len(t.blockRequests)) + t.newRequests.ahead(r.Class, r.Share)) * t.meanSlotTime
 	if q.cfg.Policy == Fair {
 		own *= shares / t.share
 	}
-	return seconds((tq.meanSlotTime + own + ahead) / float64(tq.slots))
+	wait := seconds((tq.meanSlotTime + own + ahead) / float64(tq.slots))
+	if tq.usedSlots >= tq.slots {
+		wait = max(wait, now.Sub(tq.progressAt)) // a target that has stalled for some time is expected to do so for as long again
+	}
+	return wait
 }
 
 // Grant marks the waiting requests that may run now as running and returns their ids, in order for each
@@ -237,7 +248,7 @@
 func (q *Queue) nextRequest(tq *targetQueue) *queuedRequest {
 	var best *queuedRequest
 	for _, t := range tq.teams {
-		qr := t.head(tq)
+		qr := t.head(tq, q.cfg.Policy)
 		if qr == nil {
 			continue
 		}
@@ -263,10 +274,14 @@
 	delete(q.waiting, qr.req.ID)
 	t.remove(qr)
 	q.running[qr.req.ID] = qr
-	qr.started = now
+	qr.started, tq.progressAt = now, now
 	qr.chargedTime = t.meanSlotTime / t.share
 	tq.virtualTime = max(tq.virtualTime, t.virtualTime)
 	t.virtualTime += qr.chargedTime
+	if !qr.req.InBlock {
+		t.newRequests.charge(qr, t.meanSlotTime)
+		qr.classCharge = t.meanSlotTime
+	}
 	t.running++
 	tq.usedSlots++
 	if !qr.req.InBlock {
@@ -284,8 +299,12 @@
 	}
 	delete(q.running, id)
 	tq, t := qr.queue, qr.team
+	tq.progressAt = now
 	used := max(now.Sub(qr.started).Seconds(), 0)
 	t.virtualTime += used/t.share - qr.chargedTime
+	if !qr.req.InBlock {
+		t.newRequests.charge(qr, used-qr.classCharge)
+	}
 	t.meanSlotTime = movingAverage(t.meanSlotTime, used)
 	tq.meanSlotTime = movingAverage(tq.meanSlotTime, used)
 	t.running--
@@ -377,29 +396,29 @@
 	return n
 }
 
-func (t *team) waiting() int { return len(t.blockRequests) + len(t.newRequests) }
+func (t *team) waiting() int { return len(t.blockRequests) + t.newRequests.waiting }
 
 // head returns the team's next request, or nil if there is none or it needs a connection and the target
 // or the team has none left.
-func (t *team) head(tq *targetQueue) *queuedRequest {
+func (t *team) head(tq *targetQueue, policy Policy) *queuedRequest {
 	if len(t.blockRequests) > 0 {
 		return t.blockRequests[0]
 	}
 	teamConnLimit := max(tq.conns/teamConnDivisor, 1)
-	if len(t.newRequests) == 0 || tq.usedConns >= tq.conns || t.conns >= teamConnLimit {
+	if t.newRequests.waiting == 0 || tq.usedConns >= tq.conns || t.conns >= teamConnLimit {
 		return nil
 	}
-	return t.newRequests[0]
+	return t.newRequests.head(policy)
 }
 
 func (t *team) remove(qr *queuedRequest) {
-	queue := &t.newRequests
-	if qr.req.InBlock {
-		queue = &t.blockRequests
+	if !qr.req.InBlock {
+		t.newRequests.remove(qr)
+		return
 	}
-	for i, other := range *queue {
+	for i, other := range t.blockRequests {
 		if other == qr {
-			*queue = append((*queue)[:i], (*queue)[i+1:]...)
+			t.blockRequests = append(t.blockRequests[:i], t.blockRequests[i+1:]...)
 			return
 		}
 	}
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -53,7 +53,9 @@
 		startWithin = min(startWithin, req.StartWithin)
 	}
 	waitCtx, stopWaiting := context.WithTimeout(ctx, startWithin)
-	ticket, err := t.gate.Acquire(waitCtx, req.Team, queueName, weight(req.Team, req.Priority), enqueuedAt.Add(startWithin))
+	ticket, err := t.gate.AcquireFor(waitCtx, admission.Request{
+		Target: queueName, Team: req.Team, Share: weight(req.Team, req.Priority), Class: req.Priority, Deadline: enqueuedAt.Add(startWithin),
+	})
 	stopWaiting()
 	queueWait := t.manager.cfg.Clock.Now().Sub(enqueuedAt)
 	t.manager.metrics.queueSeconds.Update(queueWait.Seconds())
