gateway: bound the wait for a rate token by the objective

Cause: an operation waited 200 ms for a token from the control leader, whatever its objective, also while no leader answered.

Change: it waits for half of the objective, at most 200 ms, and for 10 ms once the leader hasn't been heard for 1 s. The targets that a statement excludes are copied only if there are any.

--- a/internal/gateway/behind.go
+++ b/internal/gateway/behind.go
@@ -55,14 +55,24 @@
 	now := r.cfg.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	excluded := map[string]bool{}
-	maps.Copy(excluded, tried)
-	maps.Copy(excluded, run.busy)
+	excluded := tried
+	exclude := func(target string) {
+		if len(excluded) == len(tried) {
+			excluded = maps.Clone(tried)
+		}
+		if excluded == nil {
+			excluded = map[string]bool{}
+		}
+		excluded[target] = true
+	}
+	for target := range run.busy {
+		exclude(target)
+	}
 	for _, route := range r.cfg.Directory.TargetsOf(req.service) {
 		stats := r.stats(route.Target)
 		behind := !req.primary && !route.Primary && stats.behind.refuses(now, req)
 		if behind || stats.untilAdmitted(now, run) > 0 {
-			excluded[route.Target] = true
+			exclude(route.Target)
 		}
 	}
 	return excluded
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,8 +71,6 @@
 	defaultTargetWait = 50 * time.Millisecond
 	// retryInterval is the time between two searches for a usable target.
 	retryInterval = 10 * time.Millisecond
-	// rateTokenWaitLimit bounds the wait for a rate token from the control leader.
-	rateTokenWaitLimit = 200 * time.Millisecond
 	// readAttemptTimeout is how long a read may take, beyond the queue wait that its target has announced,
 	// before it is cancelled and sent to another target.
 	readAttemptTimeout = 300 * time.Millisecond
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -82,3 +82,13 @@
 	is.Equal(h.sentTargets(), []string{"a", "p"})
 	is.True(h.sent[1].NeedsPrimary)
 }
+
+// Load: all operations need tokens from a control leader that is gone. Guards against each of them waiting for it, and against a
+// wait that leaves no time for the operation.
+func TestTokenWaitsWhileControlIsSilent(t *testing.T) {
+	is := is.New(t)
+	is.Equal(tokenWait(120*time.Millisecond, 0), 60*time.Millisecond)
+	is.Equal(tokenWait(0, 0), maxTokenWait)
+	is.Equal(tokenWait(time.Minute, controlSilence), maxTokenWait)
+	is.Equal(tokenWait(120*time.Millisecond, controlSilence+1), silentTokenWait)
+}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -154,3 +154,10 @@
 	defer r.mu.Unlock()
 	r.stats(target).avoidUntil = now.Add(avoidDuration)
 }
+
+// announcedWait returns the queue wait that was reported with the last reply from a target.
+func (r *router) announcedWait(target string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stats(target).announcedWait
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,7 +38,7 @@
 		return statement.Result{}, err
 	}
 	s.lastTeam, s.lastTarget = team, ""
-	if err := s.acquireRateToken(ctx, team); err != nil {
+	if err := s.acquireRateToken(ctx, route, team); err != nil {
 		return statement.Result{}, err
 	}
 	run := &statementRun{session: s, route: route, team: team, st: st, arrived: arrived}
@@ -243,9 +243,9 @@
 		Target: targetRoute.Target, Team: run.team, Session: run.session.id, NeedsPrimary: req.primary, MinPosition: req.minPosition, MaxAge: req.maxAge,
 		SessionSettings: run.session.settings, Timeout: remaining, Priority: run.route.Priority, Statement: run.st,
 	}
-	announcedWait, unqueuedTime := g.router.expectedTimes(targetRoute.Target)
+	announcedWait := g.router.announcedWait(targetRoute.Target)
 	if run.route.LatencyObjective > 0 {
-		msg.StartWithin = max(run.startWithin(unqueuedTime), minStartWithin)
+		msg.StartWithin = max(run.startWithin(g.router.unqueuedTime(targetRoute.Target)), minStartWithin)
 	}
 	if run.blockBegin != nil {
 		msg.StartsBlock, msg.Begin = true, *run.blockBegin
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -208,7 +208,7 @@
 		return err
 	}
 	s.lastTeam, s.lastTarget = team, ""
-	if err := s.acquireRateToken(ctx, team); err != nil {
+	if err := s.acquireRateToken(ctx, route, team); err != nil {
 		return err
 	}
 	s.block = &block{begin: st, route: route, team: team}
@@ -232,13 +232,14 @@
 	s.block.failed = true
 }
 
-func (s *Session) acquireRateToken(ctx context.Context, team string) error {
+func (s *Session) acquireRateToken(ctx context.Context, route *catalog.Route, team string) error {
 	if limits, ok := s.gateway.index().Team(team); !ok || limits.Unlimited {
 		return nil // an open route, or a team without a rate limit
 	}
-	ctx, cancel := context.WithTimeout(ctx, rateTokenWaitLimit)
+	directory := s.gateway.cfg.Directory
+	ctx, cancel := context.WithTimeout(ctx, tokenWait(route.LatencyObjective, directory.ConfirmedAge()))
 	defer cancel()
-	return s.gateway.cfg.Directory.AcquireTokensFailFast(ctx, team, 1)
+	return directory.AcquireTokensFailFast(ctx, team, 1)
 }
 
 // recordCommit raises the floor of the session's following reads of a service. While the position of the
--- a/internal/gateway/waits.go
+++ b/internal/gateway/waits.go
@@ -64,13 +64,11 @@
 	return least
 }
 
-// expectedTimes returns the queue wait that was reported with the last reply from a target, and the mean time to a reply of
-// statements that need not wait.
-func (r *router) expectedTimes(target string) (announcedWait, unqueuedTime time.Duration) {
+// unqueuedTime returns the mean time to a reply from a target of statements that need not wait for a slot.
+func (r *router) unqueuedTime(target string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	stats := r.stats(target)
-	return stats.announcedWait, stats.unqueuedTime
+	return r.stats(target).unqueuedTime
 }
 
 // recordUnqueuedTime records the time to a reply of a statement that need not wait for a slot.
