gateway: keep the waits that holders announce for up to 500 ms

Cause: an entry host sends few statements a second to one target, so that it had forgotten a team's expected wait by the next one; the host that holds a hot primary spent its processor time on refusals, and answered them hundreds of ms late.

--- a/internal/gateway/waits.go
+++ b/internal/gateway/waits.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// teamWaitLifetime is how long the expected wait of a team at a target is remembered.
-	teamWaitLifetime = 100 * time.Millisecond
+	// teamWaitLifetime bounds how long the expected wait of a team at a target is remembered.
+	teamWaitLifetime = 500 * time.Millisecond
 	// unqueuedTimeWeight is the weight of a new measurement in the mean time to a reply.
 	unqueuedTimeWeight = 0.1
 )
