gateway: judge a target by the team's wait, not by one refusal

Cause: a read that its holder had refused within the short time of one attempt was not sent there again, though its objective left more.

Change: after a refusal the announced wait of the team decides, and lengthens the next attempt.

--- a/internal/gateway/behind.go
+++ b/internal/gateway/behind.go
@@ -65,9 +65,6 @@
 		}
 		excluded[target] = true
 	}
-	for target := range run.busy {
-		exclude(target)
-	}
 	for _, route := range r.cfg.Directory.TargetsOf(req.service) {
 		stats := r.stats(route.Target)
 		behind := !req.primary && !route.Primary && stats.behind.refuses(now, req)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -24,7 +24,6 @@
 	blockBegin *statement.Statement // BEGIN of the block whose first statement this is; otherwise nil
 	arrived    time.Time
 	tried      map[string]bool // targets to which the statement was sent and that are not chosen again
-	busy       map[string]bool // targets that have refused the statement because it would start too late
 	// onlyPrimary is set once no position is known by which a replica could be judged recent enough.
 	onlyPrimary bool
 }
@@ -132,7 +131,7 @@
 		waitLimit = run.route.LatencyObjective / targetWaitDivisor
 	}
 	var lastErr error
-	run.tried, run.busy = map[string]bool{}, map[string]bool{}
+	run.tried = map[string]bool{}
 	for attempts := 0; ; {
 		req := run.requirement()
 		targetRoute, ok := g.router.choose(req, g.router.excluded(req, run, run.tried))
@@ -145,7 +144,7 @@
 			if lastErr == nil || wait > 0 && verdict.Of(lastErr) == verdict.NotRun {
 				lastErr = run.errNoTarget(wait)
 			}
-			if len(run.busy) > 0 || run.elapsed()+max(wait, retryInterval) > waitLimit || !sleep(ctx, retryInterval) {
+			if run.elapsed()+max(wait, retryInterval) > waitLimit || !sleep(ctx, retryInterval) {
 				return statement.Result{}, targetRoute, nil, lastErr
 			}
 			run.tried = map[string]bool{}
@@ -162,9 +161,6 @@
 		}
 		g.metrics.retries.Inc()
 		run.tried[targetRoute.Target] = true
-		if e := verdict.As(err); e.Code == verdict.CodeTooBusy && e.RetryAfter > 0 {
-			run.busy[targetRoute.Target] = true
-		}
 		if verdict.As(err).Code == verdict.CodePositionUnknown {
 			run.onlyPrimary = true // the holder has asked those of the other replicas
 		}
@@ -243,7 +239,7 @@
 		Target: targetRoute.Target, Team: run.team, Session: run.session.id, NeedsPrimary: req.primary, MinPosition: req.minPosition, MaxAge: req.maxAge,
 		SessionSettings: run.session.settings, Timeout: remaining, Priority: run.route.Priority, Statement: run.st,
 	}
-	announcedWait := g.router.announcedWait(targetRoute.Target)
+	announcedWait := max(g.router.announcedWait(targetRoute.Target), g.router.teamWait(targetRoute.Target, run.team))
 	if run.route.LatencyObjective > 0 {
 		msg.StartWithin = max(run.startWithin(g.router.unqueuedTime(targetRoute.Target)), minStartWithin)
 	}
--- a/internal/gateway/waits.go
+++ b/internal/gateway/waits.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/citronrun/citronrun/internal/admission"
+)
 
 const (
 	// teamWaitLifetime bounds how long the expected wait of a team at a target is remembered.
@@ -33,20 +37,33 @@
 	if stats.teamWaits == nil {
 		stats.teamWaits = map[string]teamWait{}
 	}
-	stats.teamWaits[team] = teamWait{wait: startWithin + retryAfter, at: now}
+	stats.teamWaits[team] = teamWait{wait: admission.AdmitWithin(startWithin) + retryAfter, at: now}
 }
 
 // untilAdmitted returns the time until the target may admit a statement, or 0 if it isn't known to refuse it.
 func (s *targetStats) untilAdmitted(now time.Time, run *statementRun) time.Duration {
-	w, ok := s.teamWaits[run.team]
-	if !ok || run.route.LatencyObjective <= 0 {
+	wait := s.teamWait(now, run.team)
+	if wait == 0 || run.route.LatencyObjective <= 0 {
 		return 0
 	}
-	age := now.Sub(w.at)
-	if age >= teamWaitLifetime {
-		return 0
+	return max(wait-admission.AdmitWithin(run.startWithin(s.unqueuedTime)), 0)
+}
+
+// teamWait returns the wait that the target is known to expect now for a new statement of a team.
+func (s *targetStats) teamWait(now time.Time, team string) time.Duration {
+	w, ok := s.teamWaits[team]
+	if age := now.Sub(w.at); ok && age < teamWaitLifetime {
+		return max(w.wait-age, 0)
 	}
-	return max(w.wait-age-run.startWithin(s.unqueuedTime), 0)
+	return 0
+}
+
+// teamWait is like targetStats.teamWait.
+func (r *router) teamWait(target, team string) time.Duration {
+	now := r.cfg.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stats(target).teamWait(now, team)
 }
 
 // untilAdmitted returns the least time until a target of the statement's service that is known to be too busy may admit it,
