--- a/internal/holder/samples_test.go
+++ b/internal/holder/samples_test.go
@@ -142,6 +142,34 @@
 	is.Equal(tries, 2) // not before it had caught up
 }
 
+// Guards against reads at replicas that end with the primary's answers: while it is silent nothing is acknowledged, and what was
+// proved stays true after its holder has lost the right, and the lease.
+func TestSampleOutlivesThePrimary(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	_, ok := f.Sample("db", "s")
+	is.True(!ok) // commits of earlier holders may not be covered
+	f.clock.Advance(time.Second)
+	f.Start(context.Background(), newRequest("t", statement.Write, "x", nil))
+	f.target.onRun = func(statement.Statement) error { return errConnLost }
+	f.target.unreachable = true
+	f.clock.Advance(time.Second)
+	f.Start(context.Background(), newRequest("t", statement.Write, "lost", nil))
+	sample, ok := f.Sample("db", "s")
+	is.True(ok)
+	is.Equal(sample, wire.Sample{Position: position.Position{Term: 1, Offset: 2}})
+
+	f.leases.set(false, false)
+	f.clock.Advance(time.Second)
+	sample, _ = f.Sample("db", "s")
+	is.Equal(sample.Age, time.Second)
+	f.Apply(nil)
+	f.clock.Advance(time.Second)
+	sample, ok = f.Sample("db", "s")
+	is.True(ok)
+	is.Equal(sample, wire.Sample{Position: position.Position{Term: 1, Offset: 2}, Age: 2 * time.Second})
+}
+
 func eventuallyTrue(t *testing.T, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); !condition(); time.Sleep(time.Millisecond) {
