--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -55,18 +55,23 @@
 	return g.queue.Load(name)
 }
 
-// ExpectedWait returns the estimated wait of a new request of a team, which has the given weight at the target.
-func (g *Gate) ExpectedWait(team, target string, share float64) time.Duration {
+// ExpectedWait returns the expected wait of a new request like req.
+func (g *Gate) ExpectedWait(req Request) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.ExpectedWait(target, team, share)
+	return g.queue.ExpectedWait(g.clock.Now(), req)
 }
 
 // Acquire waits for a slot and a connection. share is the weight of the team at the target. A request whose
 // expected wait exceeds the deadline is refused at once; a zero deadline means none. After that only ctx ends
 // the wait. Every error, including the one for an ended ctx, is a *verdict.Error with verdict NotRun.
 func (g *Gate) Acquire(ctx context.Context, team, target string, share float64, deadline time.Time) (*Ticket, error) {
-	t := &Ticket{gate: g, req: Request{Target: target, Team: team, Share: share, Deadline: deadline}}
+	return g.AcquireFor(ctx, Request{Target: target, Team: team, Share: share, Deadline: deadline})
+}
+
+// AcquireFor is like Acquire for a request whose ID is not set.
+func (g *Gate) AcquireFor(ctx context.Context, req Request) (*Ticket, error) {
+	t := &Ticket{gate: g, req: req}
 	if err := t.wait(ctx); err != nil {
 		return nil, err
 	}
@@ -119,8 +124,8 @@
 	select {
 	case <-ready:
 	case <-ctx.Done():
-		if g.cancel(t.req.ID) {
-			return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "stopped waiting for a slot: %w", ctx.Err())
+		if expectedWait, ok := g.cancel(t.req); ok {
+			return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "stopped waiting for a slot: %w", ctx.Err()).WithRetryAfter(expectedWait)
 		}
 	}
 	g.mu.Lock()
@@ -148,15 +153,16 @@
 	return ready, nil
 }
 
-// cancel removes a waiting request. It returns false if the request was granted before.
-func (g *Gate) cancel(id uint64) bool {
+// cancel removes a waiting request and returns the expected wait of a new one. It returns false if the request was granted
+// before.
+func (g *Gate) cancel(req Request) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.queue.Cancel(id) {
-		return false
+	if !g.queue.Cancel(req.ID) {
+		return 0, false
 	}
-	delete(g.grants, id)
-	return true
+	delete(g.grants, req.ID)
+	return g.queue.ExpectedWait(g.clock.Now(), req), true
 }
 
 // deliverGrants grants all requests that may run now and wakes their goroutines.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,13 +9,14 @@
 
 // gatewayMetrics holds the metrics of sessions and statements.
 type gatewayMetrics struct {
-	set      *metrics.Set
-	opened   *metrics.Counter
-	retries  *metrics.Counter
-	reroutes *metrics.Counter
-	declines *metrics.Counter                  // statements that the holder of a target has declined in favour of another one
-	sent     map[spill.Reason]*metrics.Counter // statements sent to a target, by why they stay in their place or leave it
-	latency  *metrics.Histogram
+	set         *metrics.Set
+	opened      *metrics.Counter
+	retries     *metrics.Counter
+	reroutes    *metrics.Counter
+	declines    *metrics.Counter                  // statements that the holder of a target has declined in favour of another one
+	sent        map[spill.Reason]*metrics.Counter // statements sent to a target, by why they stay in their place or leave it
+	refusedBusy *metrics.Counter                  // statements refused without a call, since the targets would refuse them
+	latency     *metrics.Histogram
 }
 
 func newGatewayMetrics(set *metrics.Set, sessions func() int) *gatewayMetrics {
@@ -28,13 +29,14 @@
 		sent[reason] = set.NewCounter(`citron_statements_sent_total{reason="` + string(reason) + `"}`)
 	}
 	return &gatewayMetrics{
-		set:      set,
-		opened:   set.NewCounter("citron_sessions_opened_total"),
-		retries:  set.NewCounter("citron_statement_retries_total"),
-		reroutes: set.NewCounter("citron_statement_reroutes_total"),
-		declines: set.NewCounter("citron_statement_declines_total"),
-		sent:     sent,
-		latency:  set.NewHistogram("citron_statement_seconds"),
+		set:         set,
+		opened:      set.NewCounter("citron_sessions_opened_total"),
+		retries:     set.NewCounter("citron_statement_retries_total"),
+		reroutes:    set.NewCounter("citron_statement_reroutes_total"),
+		declines:    set.NewCounter("citron_statement_declines_total"),
+		sent:        sent,
+		refusedBusy: set.NewCounter("citron_statements_refused_early_total"),
+		latency:     set.NewHistogram("citron_statement_seconds"),
 	}
 }
 
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -39,10 +39,13 @@
 
 // targetStats is what this host knows about a target from earlier statements.
 type targetStats struct {
-	announced  spill.Announced
-	pending    int // statements in flight from this host, single ones or the first of a block
-	avoidUntil time.Time
-	path       spill.Path
+	announced    spill.Announced
+	pending      int // statements in flight from this host, single ones or the first of a block
+	avoidUntil   time.Time
+	path         spill.Path
+	behind       replicaBehind
+	teamWaits    map[string]teamWait // by team
+	unqueuedTime time.Duration       // mean time to a reply of statements that need not wait for a slot
 }
 
 func newRouter(cfg Config) *router {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/citronrun/citronrun/internal/admission"
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/statement"
@@ -24,6 +25,8 @@
 	arrived    time.Time
 	tried      map[string]bool          // targets to which the statement was sent and that are not chosen again
 	declined   map[string]time.Duration // targets whose holders have declined the statement, with the waits they expected
+	// onlyPrimary is set once no position is known by which a replica could be judged recent enough.
+	onlyPrimary bool
 }
 
 func (s *Session) runStatement(ctx context.Context, arrived time.Time, st statement.Statement) (statement.Result, error) {
@@ -35,7 +38,7 @@
 		return statement.Result{}, err
 	}
 	s.lastTeam, s.lastTarget = team, ""
-	if err := s.acquireRateToken(ctx, team); err != nil {
+	if err := s.acquireRateToken(ctx, route, team); err != nil {
 		return statement.Result{}, err
 	}
 	run := &statementRun{session: s, route: route, team: team, st: st, arrived: arrived}
@@ -117,7 +120,7 @@
 	if reply.Code == "" {
 		return nil
 	}
-	return &verdict.Error{Verdict: verdict.Verdict(reply.Verdict), Code: reply.Code, Message: reply.Message}
+	return &verdict.Error{Verdict: verdict.Verdict(reply.Verdict), Code: reply.Code, Message: reply.Message, RetryAfter: reply.RetryAfter}
 }
 
 // execute sends the statement to targets until one has run it, or until a retry could repeat an effect or
@@ -129,20 +132,21 @@
 	run.tried = map[string]bool{}
 	for attempts := 0; ; {
 		req := run.requirement()
-		chosen, ok := g.router.choose(req, run.tried)
+		chosen, ok := g.router.choose(req, g.router.excluded(req, run, run.tried))
 		if !ok && !req.primary { // all replicas were tried; the primary has all data that they may lack
 			req.primary, req.minPosition, req.maxAge = true, position.Position{}, 0
-			chosen, ok = g.router.choose(req, nil)
+			chosen, ok = g.router.choose(req, g.router.excluded(req, run, nil))
 		}
 		targetRoute := chosen.TargetRoute
 		if !ok {
 			if g.router.allEmptied(run.route.Service) {
 				return statement.Result{}, targetRoute, nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "all targets of service %q are in emptied places", run.route.Service)
 			}
-			if lastErr == nil {
-				lastErr = errNoTarget(run.route.Service)
+			wait := g.router.untilAdmitted(run)
+			if lastErr == nil || wait > 0 && verdict.Of(lastErr) == verdict.NotRun {
+				lastErr = run.errNoTarget(wait)
 			}
-			if g.cfg.Clock.Now().Sub(run.arrived) >= waitLimit || !sleep(ctx, retryInterval) {
+			if run.elapsed()+max(wait, retryInterval) > waitLimit || !sleep(ctx, retryInterval) {
 				return statement.Result{}, targetRoute, nil, lastErr
 			}
 			run.tried = map[string]bool{}
@@ -160,11 +164,14 @@
 			return res, targetRoute, openBlock, nil
 		}
 		lastErr = err
-		if !run.retryable(err) || attempts >= maxAttempts || ctx.Err() != nil || g.cfg.Clock.Now().Sub(run.arrived) >= run.route.Timeout*3/4 {
+		if !run.retryable(err) || attempts >= maxAttempts || ctx.Err() != nil || run.elapsed() >= run.route.Timeout*3/4 {
 			return res, targetRoute, nil, err
 		}
 		g.metrics.retries.Inc()
 		run.tried[targetRoute.Target] = true
+		if verdict.As(err).Code == verdict.CodePositionUnknown {
+			run.onlyPrimary = true // the holder has asked those of the other replicas
+		}
 		_ = level.Info(g.logger).Log("msg", "statement retried", "request", run.st.ID, "session", run.session.id, "database", run.session.database,
 			"kind", run.st.Kind, "team", run.team, "target", targetRoute.Target, "holder", targetRoute.Holder, "primary", req.primary, "after", req.minPosition,
 			"code", verdict.As(err).Code, "err", verdict.As(err).Message)
@@ -172,7 +179,7 @@
 			// An attempt without a reply is repeated within the timeout of the route; a refusal only within
 			// the wait limit.
 			refused := verdict.Of(err) == verdict.NotRun
-			if refused && g.cfg.Clock.Now().Sub(run.arrived) >= waitLimit || !sleep(ctx, retryInterval) {
+			if refused && run.elapsed()+max(verdict.As(err).RetryAfter, retryInterval) > waitLimit || !sleep(ctx, retryInterval) {
 				return res, targetRoute, nil, err
 			}
 			run.tried = map[string]bool{}
@@ -192,6 +199,27 @@
 	return defaultTargetWait
 }
 
+// elapsed returns the time since the statement arrived.
+func (run *statementRun) elapsed() time.Duration {
+	return run.session.gateway.cfg.Clock.Now().Sub(run.arrived)
+}
+
+// startWithin returns how long the statement may still wait for its start at a target with the given time to a reply.
+func (run *statementRun) startWithin(unqueuedTime time.Duration) time.Duration {
+	patience := admission.Patience{Objective: run.route.LatencyObjective, Timeout: run.route.Timeout}
+	return patience.StartWithin(run.elapsed(), unqueuedTime)
+}
+
+// errNoTarget returns the error of a statement for which no target can be chosen. wait is the time until one may admit it, if
+// they are busy.
+func (run *statementRun) errNoTarget(wait time.Duration) error {
+	if wait > 0 {
+		run.session.gateway.metrics.refusedBusy.Inc()
+		return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "the targets of service %q are too busy to start a statement in time", run.route.Service).WithRetryAfter(wait)
+	}
+	return errNoTarget(run.route.Service)
+}
+
 // requirement returns what the statement requires of its target.
 func (run *statementRun) requirement() requirement {
 	kind := run.st.Kind
@@ -199,7 +227,7 @@
 		kind = run.blockBegin.Kind
 	}
 	s, service := run.session, run.route.Service
-	req := requirementFor(run.route, kind, s.commitFloors[service], s.unknownCommits[service], s.gateway.cfg.TrafficCost)
+	req := requirementFor(run.route, kind, s.commitFloors[service], s.unknownCommits[service] || run.onlyPrimary, s.gateway.cfg.TrafficCost)
 	req.declined = run.declined
 	return req
 }
@@ -231,7 +259,7 @@
 // send sends the statement to one target.
 func (run *statementRun) send(ctx context.Context, chosen choice, req requirement) (statement.Result, Block, error) {
 	g, targetRoute := run.session.gateway, chosen.TargetRoute
-	remaining := run.route.Timeout - g.cfg.Clock.Now().Sub(run.arrived)
+	remaining := run.route.Timeout - run.elapsed()
 	if remaining <= 0 {
 		return statement.Result{}, nil, verdict.New(verdict.NotRun, verdict.CodeTooBusy, "the timeout of %v has passed before the statement was sent", run.route.Timeout)
 	}
@@ -240,12 +268,19 @@
 		SessionSettings: run.session.settings, Timeout: remaining, Priority: run.route.Priority, Statement: run.st,
 		DeclineAbove: chosen.declineAbove,
 	}
+	announcedWait := max(g.router.announcedWait(targetRoute.Target), g.router.teamWait(targetRoute.Target, run.team))
+	if run.route.LatencyObjective > 0 {
+		msg.StartWithin = max(run.startWithin(g.router.unqueuedTime(targetRoute.Target)), minStartWithin)
+	}
 	if run.blockBegin != nil {
 		msg.StartsBlock, msg.Begin = true, *run.blockBegin
 	}
 	limit := remaining + replyMargin
 	if run.st.Kind == statement.Read && run.blockBegin == nil {
-		limit = min(limit, readAttemptTimeout+g.router.announcedWait(targetRoute.Target))
+		limit = min(limit, readAttemptTimeout+announcedWait)
+		if msg.StartWithin > 0 {
+			msg.StartWithin = min(msg.StartWithin, max(limit-readRunTimeout, minStartWithin)) // so that the holder refuses the read before it is given up
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -269,11 +304,18 @@
 		switch verdict.As(err).Code {
 		case verdict.CodeDeclined:
 			run.recordDecline(targetRoute.Target, reply.ExpectedQueueWait)
-		case verdict.CodeUnavailable, verdict.CodeReplicaBehind: // its holder has already waited for a replica that is a moment behind
+		case verdict.CodeTooBusy:
+			g.router.recordBusy(targetRoute.Target, run.team, msg.StartWithin, reply.RetryAfter)
+		case verdict.CodeUnavailable:
 			g.router.avoidForReads(targetRoute.Target)
+		case verdict.CodeReplicaBehind: // its holder has already waited for a replica that is a moment behind
+			g.router.recordBehind(targetRoute.Target, req, &reply)
 		}
 		return reply.Result, nil, err
 	}
+	if announcedWait == 0 && reply.ExpectedQueueWait == 0 {
+		g.router.recordUnqueuedTime(targetRoute.Target, g.cfg.Clock.Now().Sub(sentAt))
+	}
 	return reply.Result, openBlock, nil
 }
 
--- a/internal/holder/decline.go
+++ b/internal/holder/decline.go
@@ -19,7 +19,7 @@
 	if req.DeclineAbove <= 0 {
 		return wire.StatementReply{}, false
 	}
-	wait := t.gate.ExpectedWait(req.Team, queueName, weight(req.Team, req.Priority))
+	wait := t.gate.ExpectedWait(queueRequest(req))
 	var err error
 	switch {
 	case spill.Declines(wait, req.DeclineAbove):
--- a/internal/holder/decline_test.go
+++ b/internal/holder/decline_test.go
@@ -119,3 +119,18 @@
 	}
 	is.True(run())
 }
+
+// Guards against a holder that sends a read again and again to a replica which refuses it as behind although the read requires
+// no position.
+func TestUnfoundedRefusalIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(3)
+	sent := 0
+	f.target.onRun = func(statement.Statement) error {
+		sent++
+		return verdict.New(verdict.NotRun, verdict.CodeReplicaBehind, "refused")
+	}
+	reply, _ := f.Start(context.Background(), newRequest("t", statement.Read, "x", nil))
+	is.Equal(reply.Code, verdict.CodeReplicaBehind)
+	is.Equal(sent, 1)
+}
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -89,6 +89,8 @@
 	// DeclineAbove, if set, tells that the sender has another target for the statement. The holder declines it with
 	// verdict.CodeDeclined if the expected queue wait is longer, or if the target fails part of its statements.
 	DeclineAbove time.Duration `cbor:"14,keyasint,omitempty"`
+	// StartWithin, if set, is how long the statement may wait for its start. Beyond that the caller prefers a refusal.
+	StartWithin time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 func (r StatementRequest) worthCompressing() bool { return r.Compress }
@@ -113,14 +115,19 @@
 	ExpectedQueueWait time.Duration    `cbor:"5,keyasint,omitempty"` // expected queue wait of a new statement at the target
 	HeldFor           time.Duration    `cbor:"6,keyasint,omitempty"` // from the arrival of the request at the holder to the reply; only of a StatementRequest
 	Failing           bool             `cbor:"7,keyasint,omitempty"` // the target fails part of its statements
-	Compress          bool             `cbor:"-"`                    // copied from the answered request; not sent
+	// RetryAfter is the time after which a statement that has not run may succeed at this target; 0: unknown.
+	RetryAfter time.Duration `cbor:"8,keyasint,omitempty"`
+	// Reached is the last known position of the target's log, if it lacks the position that the statement requires.
+	Reached  position.Position `cbor:"9,keyasint"`
+	Compress bool              `cbor:"-"` // copied from the answered request; not sent
 }
 
 func (r StatementReply) worthCompressing() bool { return r.Compress }
 
 // SampleQuery requests the newest position sample of a primary from its holder.
 type SampleQuery struct {
-	Target string `cbor:"1,keyasint"`
+	Target  string `cbor:"1,keyasint"`           // the primary, or a replica whose holder may know a sample
+	Service string `cbor:"2,keyasint,omitempty"` // of the target
 }
 
 // SampleReply answers a SampleQuery. Sample is nil if the holder has none.
