budget: account for the memory that clients hold

Cause: a host has one memory for all of its clients, and nobody counted what their messages and results hold of it.

Change: each connection has an account; what it holds above a small free amount is charged. If the memory is short, the account that has cost most (bytes times time) and that its client keeps is closed; others wait up to 1 s and are refused.

--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,72 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against charges above the limit, a count that drifts from the charges, and an account that is closed in favour
+// of another one although it has no charge, is not held by its client, or has held its bytes for a moment only.
+func TestCharges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit, free = 1000, 50
+		b := New(Limits{Bytes: limit, FreeBytes: free})
+		accounts := make([]*Account, 6)
+		for i := range accounts {
+			accounts[i] = b.Open(func() {})
+		}
+		now := time.Unix(0, 0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			a := rapid.SampledFrom(accounts).Draw(t, "account")
+			before := a.bytes
+			bytes := int64(rapid.IntRange(0, 1500).Draw(t, "bytes"))
+			ok, victim, _ := a.charge(now, bytes, rapid.Bool().Draw(t, "closable"))
+			if !ok && a.bytes != before {
+				t.Fatalf("a refused charge changed %d to %d", before, a.bytes)
+			}
+			if !ok && max(0, bytes-free) <= before {
+				t.Fatal("a decrease was refused")
+			}
+			if victim != nil && (victim == a || victim.bytes == 0 || !victim.closable || now.Sub(victim.since) < closeAge) {
+				t.Fatalf("closed %+v", victim)
+			}
+			var sum int64
+			for _, a := range accounts {
+				sum += a.bytes
+			}
+			if used, peak := b.Used(); used != sum || used > limit || peak < used {
+				t.Fatalf("used %d, sum %d, peak %d", used, sum, peak)
+			}
+		}
+	})
+}
+
+// Guards against a message of legal size that a host at rest refuses, and against closing a caller that holds little
+// or that has just begun while one holds much for long.
+func TestCostliestIsClosed(t *testing.T) {
+	is := is.New(t)
+	b := New(Limits{Bytes: 100, FreeBytes: 10})
+	start := time.Unix(0, 0)
+	large, long, ordinary, next := b.Open(nil), b.Open(nil), b.Open(nil), b.Open(nil)
+	ok, _, _ := large.charge(start, 5000, false)
+	is.True(ok)
+	_, _, _ = large.charge(start, 0, false)
+	is.True(func() bool { ok, _, _ := ordinary.charge(start, 20, true); return ok }())
+	is.True(func() bool { ok, _, _ := long.charge(start, 60, true); return ok }())
+	is.True(func() bool { ok, _, _ := large.charge(start.Add(closeAge), 50, true); return ok }())
+	ok, victim, freed := next.charge(start.Add(closeAge), 60, true)
+	is.True(!ok)
+	is.Equal(victim, long)
+	_, _, _ = long.charge(start.Add(closeAge), 0, false)
+	select {
+	case <-freed:
+	default:
+		t.Fatal("the waiting account was not told that there is room")
+	}
+	ok, _, _ = next.charge(start.Add(closeAge), 50, true)
+	is.True(ok)
+}
--- /dev/null
+++ b/internal/budget/wait.go
@@ -0,0 +1,46 @@
+package budget
+
+import "time"
+
+// WaitLimit bounds the wait for memory.
+const WaitLimit = time.Second
+
+// Hold sets the bytes that the account holds. If the memory is short, it closes the account that has cost most, and
+// waits up to WaitLimit for room. It returns false if there was none. closable says that the client decides how long
+// the bytes are held. It is not called concurrently.
+func (a *Account) Hold(bytes int64, closable bool) bool {
+	if a.bytes == 0 && bytes <= a.budget.limits.FreeBytes {
+		return true
+	}
+	var timeout <-chan time.Time
+	for {
+		ok, victim, freed := a.charge(time.Now(), bytes, closable)
+		if ok {
+			return true
+		}
+		if victim != nil {
+			victim.close()
+		}
+		if timeout == nil {
+			timer := time.NewTimer(WaitLimit)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		ticker := time.NewTimer(closeAge / 2) // an account may become closable meanwhile
+		select {
+		case <-freed:
+		case <-ticker.C:
+		case <-timeout:
+			ticker.Stop()
+			return false
+		}
+		ticker.Stop()
+	}
+}
+
+// Closed reports whether the account was closed in favour of another one.
+func (a *Account) Closed() bool {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	return a.closed
+}
