entry, admin: limit what PostgreSQL callers can make a host hold

Cause: a frame's buffer was allocated when its length was announced, up to 16 MiB for each connection; the kernel kept up to megabytes more for each; twice the limit of connections was accepted; the administration API had no limits.

Change: buffers grow as bytes arrive and are charged to the connection's account; a large frame has to arrive within 60 s; at most 64 connections above the limit are told why they are refused. New settings limits.memory_mb and limits.descriptors (default 0: callers get a sixth of the machine's memory, the process itself isn't limited). With memory_mb the receive buffers and the heap are limited too. The administration API and the metrics use httplimit.

The test now sets the new keys to the bounds; crowds and bounds are unchanged.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -16,7 +16,9 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/citronrun/citronrun/internal/budget"
 	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/httplimit"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -24,6 +26,8 @@
 	maxBodyBytes       = 1 << 20
 	requestTimeout     = 15 * time.Second // covers finding the control leader and committing a change
 	headerTimeout      = 5 * time.Second
+	readTimeout        = 20 * time.Second
+	writeTimeout       = 2 * time.Minute // longer than a watch or a profile
 	watchTimeout       = 30 * time.Second
 	watchInterval      = 50 * time.Millisecond
 	shutdownGrace      = 2 * time.Second
@@ -58,6 +62,9 @@
 	Tokens  *Tokens               // nil if requests need no token
 	Metrics func() []*metrics.Set // additional metric sets; may be nil
 	Logger  log.Logger
+
+	MaxConnections int              // 0: unlimited
+	Refusals       *budget.Refusals // nil: clients over a limit are logged to Logger
 }
 
 // Server serves the administration API.
@@ -69,7 +76,13 @@
 // New returns a Server; Serve starts it.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg}
-	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
+	if cfg.Refusals == nil {
+		cfg.Refusals = budget.NewRefusals(cfg.Logger)
+	}
+	s.http = httplimit.NewServer(s.Handler(), httplimit.Config{
+		Connections: cfg.MaxConnections, HeaderTimeout: headerTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+		ActiveTime: writeTimeout, Refusals: cfg.Refusals,
+	})
 	return s
 }
 
--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -305,4 +305,4 @@
 }
 
 // crowdLimits is the section "limits" of the settings.
-var crowdLimits = map[string]any{"connections": crowdConnections}
+var crowdLimits = map[string]any{"connections": crowdConnections, "memory_mb": crowdMemoryMb, "descriptors": crowdDescriptors}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,6 +95,7 @@
 		metrics:  metrics.NewSet(),
 		failed:   make(chan error, 1),
 	}
+	d.limitMemory()
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	for _, step := range []func(context.Context) error{
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -193,7 +193,7 @@
 	if err != nil {
 		return fmt.Errorf("listen.metrics: %w", err)
 	}
-	d.metricsServer = newMetricsServer([]*metrics.Set{d.metrics})
+	d.metricsServer = newMetricsServer([]*metrics.Set{d.metrics}, d.host().ProbeConnections(), d.refusals())
 	d.startComponent("metrics", func() error { return serveHTTP(d.metricsServer, l) })
 	return nil
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/citronrun/citronrun/internal/admin"
 	"github.com/citronrun/citronrun/internal/agent"
+	"github.com/citronrun/citronrun/internal/budget"
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/entry"
@@ -91,6 +92,9 @@
 		WriteTimeout:     limits.WriteTimeout.Value(),
 		StatementTimeout: limits.QueueTimeout.Value(),
 		RetryTimeout:     limits.QueueTimeout.Value(),
+		Budget:           budget.New(d.host().Memory(limits.Connections)),
+		Refusals:         d.refusals(),
+		SocketBuffer:     d.socketBuffer(),
 	})
 	if err != nil {
 		return err
@@ -188,6 +192,9 @@
 		Tokens:  tokens,
 		Metrics: func() []*metrics.Set { return []*metrics.Set{d.metrics} },
 		Logger:  log.With(d.logger, "part", "admin"),
+
+		MaxConnections: d.host().ControlConnections(),
+		Refusals:       d.refusals(),
 	})
 	d.startComponent("admin", func() error { return d.admin.Serve(l) })
 	return nil
--- a/internal/daemon/metricsserver.go
+++ b/internal/daemon/metricsserver.go
@@ -7,11 +7,17 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/citronrun/citronrun/internal/budget"
+	"github.com/citronrun/citronrun/internal/httplimit"
 )
 
-const metricsHeaderTimeout = 2 * time.Second
+const (
+	metricsHeaderTimeout = 2 * time.Second
+	metricsTimeout       = 10 * time.Second // of a whole request
+)
 
-func newMetricsServer(sets []*metrics.Set) *http.Server {
+func newMetricsServer(sets []*metrics.Set, connections int, refusals *budget.Refusals) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
@@ -19,7 +25,10 @@
 			set.WritePrometheus(w)
 		}
 	})
-	return &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
+	return httplimit.NewServer(mux, httplimit.Config{
+		Connections: connections, HeaderTimeout: metricsHeaderTimeout, ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout,
+		ActiveTime: metricsTimeout, Refusals: refusals,
+	})
 }
 
 // serveHTTP serves until the server is closed.
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/citronrun/citronrun/internal/budget"
 	"github.com/citronrun/citronrun/internal/pgwire"
 	"github.com/citronrun/citronrun/internal/session"
 	"github.com/citronrun/citronrun/internal/verdict"
@@ -36,6 +37,9 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 
+	account      *budget.Account // memory of large frames
+	frameStarted bool            // a large frame is being received
+
 	batch      batch
 	skipToSync bool // a message of the extended protocol failed; those up to the next Sync are discarded
 
@@ -66,6 +70,9 @@
 	c.cond = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(c.srv.ctx)
 	c.rd = pgwire.NewReaderSize(c.nc, c.srv.cfg.MaxFrameBytes, c.srv.cfg.ReadBufferBytes)
+	nc := c.nc
+	c.account = c.srv.cfg.Budget.Open(func() { _ = nc.Close() })
+	c.rd.OnGrow(c.reserveFrame)
 	c.srv.register(c)
 }
 
@@ -73,6 +80,7 @@
 func (c *caller) run() {
 	defer c.srv.unregister(c)
 	defer c.cancel()
+	defer c.account.Hold(0, false)
 	err := c.readLoop()
 	c.abort(session.EventClose)
 	if e, ok := errors.AsType[*verdict.Error](err); ok {
@@ -88,8 +96,10 @@
 	for {
 		f, err := c.nextFrame()
 		if err != nil {
+			c.recordRefusal(err)
 			return c.readError(err)
 		}
+		c.endFrame()
 		if err := c.handleFrame(f); err != nil {
 			return err
 		}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"github.com/citronrun/citronrun/internal/budget"
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/wire"
 )
@@ -68,6 +69,11 @@
 	RetryTimeout     time.Duration // for retries of a refused request
 	ReadBufferBytes  int           // per caller
 	IdleTimeout      time.Duration // wait for the caller while its transaction is open
+	MessageTimeout   time.Duration // from the first bytes of a large message to its end
+	SocketBuffer     int           // receive buffer of a connection; 0: the default of the kernel
+
+	Budget   *budget.Budget   // memory for large messages; nil: unlimited
+	Refusals *budget.Refusals // nil: callers over a limit are counted only
 
 	// Parameters are the values that targets use; they are reported to callers at connect. Nil means
 	// the defaults.
@@ -83,6 +89,7 @@
 	DefaultStatementTimeout = 10 * time.Second
 	DefaultRetryTimeout     = 5 * time.Second
 	DefaultReadBufferBytes  = 2 << 10
+	DefaultMessageTimeout   = 60 * time.Second
 	// DefaultIdleTimeout bounds the wait for the caller while its transaction is open. An open
 	// transaction occupies a target connection, and those are few: while its caller is idle, no other
 	// caller can use the connection.
@@ -90,6 +97,10 @@
 )
 
 const (
+	// maxRefusing is the number of connections above MaxConnections that are told why they are refused.
+	maxRefusing = 64
+	// frameCopies is the number of copies of a large frame that exist while it is received and passed on.
+	frameCopies = 4
 	// maxStartupBytes is PostgreSQL's limit for a startup packet.
 	maxStartupBytes = 10000
 	// maxAuthFrameBytes bounds a frame from a caller that isn't authenticated yet.
@@ -145,12 +156,19 @@
 	defaultDuration(&c.StatementTimeout, DefaultStatementTimeout)
 	defaultDuration(&c.RetryTimeout, DefaultRetryTimeout)
 	defaultDuration(&c.IdleTimeout, DefaultIdleTimeout)
+	defaultDuration(&c.MessageTimeout, DefaultMessageTimeout)
 	if c.Parameters == nil {
 		c.Parameters = defaultParameters()
 	}
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
+	if c.Budget == nil {
+		c.Budget = budget.New(budget.Limits{})
+	}
+	if c.Refusals == nil {
+		c.Refusals = budget.NewRefusals(c.Logger)
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/auth"
+	"github.com/citronrun/citronrun/internal/budget"
 	"github.com/citronrun/citronrun/internal/contain"
 	"github.com/citronrun/citronrun/internal/pgwire"
 	"github.com/citronrun/citronrun/internal/verdict"
@@ -123,10 +124,18 @@
 func (s *Server) accept(nc net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || len(s.conns) >= 2*s.cfg.MaxConnections {
-		_ = nc.Close() // shutting down, or so many connections that not even an error is sent
+	if !s.draining && len(s.conns) >= s.cfg.MaxConnections+min(maxRefusing, s.cfg.MaxConnections) {
+		s.cfg.Refusals.Record(budget.LimitConnections, nc.RemoteAddr())
+		_ = nc.Close()
+		return
+	}
+	if s.draining {
+		_ = nc.Close()
 		return
 	}
+	if tcp, ok := nc.(*net.TCPConn); ok && s.cfg.SocketBuffer > 0 {
+		_ = tcp.SetReadBuffer(s.cfg.SocketBuffer)
+	}
 	full := len(s.conns) >= s.cfg.MaxConnections
 	s.conns[nc] = struct{}{}
 	s.metrics.accepted.Inc()
--- a/internal/entry/write.go
+++ b/internal/entry/write.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/citronrun/citronrun/internal/budget"
 	"github.com/citronrun/citronrun/internal/pgwire"
 )
 
@@ -47,7 +48,12 @@
 	if err := c.nc.SetWriteDeadline(time.Now().Add(c.srv.cfg.WriteTimeout)); err != nil {
 		return err
 	}
+	c.account.SetClosable(true)
 	_, err := c.nc.Write(frames)
+	c.account.SetClosable(false)
+	if isTimeout(err) {
+		c.srv.cfg.Refusals.Record(budget.LimitReadTime, c.nc.RemoteAddr())
+	}
 	return err
 }
 
--- a/internal/pgwire/frame.go
+++ b/internal/pgwire/frame.go
@@ -40,8 +40,17 @@
 	maxFrame int
 	large    []byte // buffer for frames that exceed the buffer of src
 	returned int    // buffered bytes of src that belong to the last returned frame
+	reserve  func(size int) error
 }
 
+// firstLargeBytes is the size of the first buffer for a large frame. It grows as bytes arrive, because a length may be
+// announced without them.
+const firstLargeBytes = 64 << 10
+
+// OnGrow makes the Reader call reserve before its buffer for large frames gets a new size, which is 0 once the frame
+// was released. An error of reserve ends Next.
+func (r *Reader) OnGrow(reserve func(size int) error) { r.reserve = reserve }
+
 // NewReader returns a Reader that rejects frames of more than maxFrame bytes.
 func NewReader(src io.Reader, maxFrame int) *Reader {
 	return NewReaderSize(src, maxFrame, readBufferBytes)
@@ -88,14 +97,34 @@
 		r.returned = size
 		return frame, nil
 	}
-	if cap(r.large) < size {
-		r.large = make([]byte, size)
+	for read := 0; read < size; {
+		part := min(size, max(firstLargeBytes, 2*read))
+		if err := r.growLarge(part, read); err != nil {
+			return nil, err
+		}
+		n, err := io.ReadFull(r.src, r.large[read:part])
+		if read += n; err != nil {
+			return nil, asUnexpectedEOF(err)
+		}
+	}
+	return r.large[:size], nil
+}
+
+// growLarge makes room for size bytes in large and keeps the first used bytes.
+func (r *Reader) growLarge(size, used int) error {
+	if cap(r.large) >= size {
+		r.large = r.large[:cap(r.large)]
+		return nil
 	}
-	frame := r.large[:size]
-	if _, err := io.ReadFull(r.src, frame); err != nil {
-		return nil, asUnexpectedEOF(err)
+	if r.reserve != nil {
+		if err := r.reserve(size); err != nil {
+			return err
+		}
 	}
-	return frame, nil
+	grown := make([]byte, size)
+	copy(grown, r.large[:used])
+	r.large = grown
+	return nil
 }
 
 // discardReturned releases the buffers of the last returned frame.
@@ -106,6 +135,9 @@
 	}
 	if cap(r.large) > 4*readBufferBytes {
 		r.large = nil // the buffer of a single huge frame must not be kept for the life of a session
+		if r.reserve != nil {
+			_ = r.reserve(0)
+		}
 	}
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -153,6 +153,14 @@
 			return fieldError(f.field, "is %d, want at least 1", f.value)
 		}
 	}
+	for _, f := range []struct {
+		field string
+		value int
+	}{{"limits.memory_mb", s.Limits.MemoryMB}, {"limits.descriptors", s.Limits.Descriptors}} {
+		if f.value < 0 {
+			return fieldError(f.field, "is %d, want at least 0", f.value)
+		}
+	}
 	for _, f := range []struct {
 		field string
 		value Duration
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,6 +98,11 @@
 	AuthTimeout  Duration `json:"auth_timeout"`  // from connect to the end of authentication
 	WriteTimeout Duration `json:"write_timeout"` // a caller that reads nothing for this long is disconnected
 	QueueTimeout Duration `json:"queue_timeout"` // default limit of the time a request waits in a queue
+	// MemoryMB is the memory of the process, in 10^6 bytes. If it is 0, callers may use a part of the machine's
+	// memory, and the process itself isn't limited.
+	MemoryMB int `json:"memory_mb"`
+	// Descriptors is the number of file descriptors that the process may use; 0: not limited.
+	Descriptors int `json:"descriptors"`
 }
 
 // Duration is a time.Duration written as a string such as "1.5s".
