--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// StateBytes returns the size of the session's settings and prepared statements.
+func (s *Session) StateBytes() (bytes int64) {
+	for name, value := range s.settings {
+		bytes += int64(len(name) + len(value))
+	}
+	for name, definition := range s.prepared {
+		bytes += int64(len(name) + len(definition.Body))
+	}
+	return bytes
+}
+
 // BlockIdleTimeout returns how long the session may be idle before ExpireBlock is due, or 0 if no block
 // occupies a target.
 func (s *Session) BlockIdleTimeout() time.Duration {
