daemon, platform: charge statements of other hosts, bound waiting results

Cause: a holder took as many statements of other hosts as they sent; results that were in memory waited for room for up to 1 s each, whatever they added up to, so that results which aren't read took 82 of 96 MB.

Results may wait only as long as they add up to less than the budget.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	used    int64
 	peak    int64
+	waiting int64                 // in memory, but not charged yet
 	charged map[*Account]struct{} // accounts with a charge
 	freed   chan struct{}         // closed when a charge decreases
 }
@@ -106,6 +107,17 @@
 	a.closable = closable
 }
 
+// addWaiting adds to the bytes that wait in memory. It changes nothing and returns false if they would exceed the limit.
+func (b *Budget) addWaiting(bytes int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bytes > 0 && b.waiting+bytes > b.limits.Bytes {
+		return false
+	}
+	b.waiting += bytes
+	return true
+}
+
 // costliest marks the account that has cost most as closed and returns it, or nil if none may be closed in favour
 // of a.
 func (b *Budget) costliest(now time.Time, a *Account) *Account {
--- a/internal/budget/wait.go
+++ b/internal/budget/wait.go
@@ -8,7 +8,14 @@
 // Hold sets the bytes that the account holds. If the memory is short, it closes the account that has cost most, and
 // waits up to WaitLimit for room. It returns false if there was none. closable says that the client decides how long
 // the bytes are held. It is not called concurrently.
-func (a *Account) Hold(bytes int64, closable bool) bool {
+func (a *Account) Hold(bytes int64, closable bool) bool { return a.hold(bytes, closable, 0) }
+
+// Keep is Hold for bytes that are in memory already, such as a result. It doesn't wait if too many such bytes are
+// waiting.
+func (a *Account) Keep(bytes int64) bool { return a.hold(bytes, true, bytes) }
+
+// hold is Hold; waiting is the number of bytes that are in memory during the wait.
+func (a *Account) hold(bytes int64, closable bool, waiting int64) bool {
 	if a.bytes == 0 && bytes <= a.budget.limits.FreeBytes {
 		return true
 	}
@@ -22,6 +29,10 @@
 			victim.close()
 		}
 		if timeout == nil {
+			if !a.budget.addWaiting(waiting) {
+				return false
+			}
+			defer a.budget.addWaiting(-waiting)
 			timer := time.NewTimer(WaitLimit)
 			defer timer.Stop()
 			timeout = timer.C
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/agent"
+	"github.com/citronrun/citronrun/internal/budget"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/control"
 	"github.com/citronrun/citronrun/internal/entry"
@@ -37,6 +38,8 @@
 type Deployment struct {
 	Dialer        holder.Dialer
 	TargetControl control.TargetControl
+	// ClientMemory is the memory for messages and results of clients; nil: unlimited.
+	ClientMemory *budget.Budget
 	// NewCallerServer returns the server for callers; it is called on entry hosts.
 	NewCallerServer func(g *gateway.Gateway, logger log.Logger) CallerServer
 	// MinVoters is the least number of voting control hosts with which changes are accepted.
@@ -109,8 +112,12 @@
 		targetHolder.Apply(held)
 	})
 	d.agent.SetHealthSource(targetHolder.Health)
-	d.endpoint.Handle(wire.KindStatement, serveStatement(targetHolder))
-	d.endpoint.Handle(wire.KindAgedRead, serveStatement(targetHolder))
+	clients := d.options.Deployment.ClientMemory
+	if clients == nil {
+		clients = budget.New(budget.Limits{})
+	}
+	d.endpoint.Handle(wire.KindStatement, serveStatement(targetHolder, clients))
+	d.endpoint.Handle(wire.KindAgedRead, serveStatement(targetHolder, clients))
 	d.endpoint.Handle(wire.KindSample, serveSample(targetHolder))
 	d.endpoint.Handle(wire.KindRelay, d.endpoint.RelayHandler(d.mayRelay))
 	d.holder = targetHolder
--- a/internal/daemon/holderclient.go
+++ b/internal/daemon/holderclient.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/citronrun/citronrun/internal/agent"
+	"github.com/citronrun/citronrun/internal/budget"
 	"github.com/citronrun/citronrun/internal/gateway"
 	"github.com/citronrun/citronrun/internal/holder"
 	"github.com/citronrun/citronrun/internal/statement"
@@ -122,6 +123,10 @@
 func (b *remoteBlock) Close() { b.closeOnce.Do(b.stream.Reset) }
 
 // serveStatement handles statements that other hosts send for targets held by this host.
-func serveStatement(h *holder.Manager) transport.Handler {
-	return func(ctx context.Context, _ string, s transport.Stream) { h.Serve(ctx, s) }
+func serveStatement(h *holder.Manager, clients *budget.Budget) transport.Handler {
+	return func(ctx context.Context, _ string, s transport.Stream) {
+		account := clients.Open(s.Reset)
+		defer account.Hold(0, false)
+		h.Serve(ctx, &chargedStream{stream: s, account: account})
+	}
 }
