--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/citronrun/citronrun/internal/agent"
+	"github.com/citronrun/citronrun/internal/budget"
 	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/control"
@@ -42,6 +43,8 @@
 	Dialer        holder.Dialer
 	TargetControl control.TargetControl
 	Tunnels       *Tunnels // of control hosts; nil: none
+	// ClientMemory is the memory for messages and results of clients; nil: unlimited.
+	ClientMemory *budget.Budget
 	// NewCallerServer returns the server for callers; it is called on entry hosts.
 	NewCallerServer func(g *gateway.Gateway, logger log.Logger) CallerServer
 	// MinVoters is the least number of voting control hosts with which changes are accepted.
@@ -123,8 +126,12 @@
 		targetHolder.Apply(held)
 	})
 	d.agent.SetHealthSource(targetHolder.Health)
-	d.endpoint.Handle(wire.KindStatement, serveStatement(targetHolder))
-	d.endpoint.Handle(wire.KindAgedRead, serveStatement(targetHolder))
+	clients := d.options.Deployment.ClientMemory
+	if clients == nil {
+		clients = budget.New(budget.Limits{})
+	}
+	d.endpoint.Handle(wire.KindStatement, serveStatement(targetHolder, clients))
+	d.endpoint.Handle(wire.KindAgedRead, serveStatement(targetHolder, clients))
 	d.endpoint.Handle(wire.KindSample, serveSample(targetHolder))
 	d.endpoint.Handle(wire.KindRelay, d.endpoint.RelayHandler(d.mayRelay))
 	d.holder = targetHolder
@@ -232,7 +239,7 @@
 	if err != nil {
 		return fmt.Errorf("listen.metrics: %w", err)
 	}
-	d.metricsServer = newMetricsServer([]*metrics.Set{d.metrics})
+	d.metricsServer = newMetricsServer([]*metrics.Set{d.metrics}, d.host().ProbeConnections(), d.refusals())
 	d.startComponent("metrics", func() error { return serveHTTP(d.metricsServer, l) })
 	return nil
 }
