agent: starting hosts agree on relays

A host chose the relay for a holder among the hosts that it was connected with. After a restart of all hosts that is nobody, so each was its own relay: every host connected with every holder, whose link of 1.4 Mbit/s is full of handshake packets for seconds. Until a host has had the time to connect with its place it opens the connection to the relay that all choose.

The holder of the busiest primary still loses its lease twice.

--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -45,9 +45,15 @@
 	a.mu.Lock()
 	hosts := a.relaysFor(holder)
 	a.mu.Unlock()
-	return a.choosePeer(hosts, holder)
+	connecting := a.Clock.Now().Sub(a.started) < time.Duration(len(hosts))*connectTimePerHost
+	return a.choosePeer(hosts, holder, connecting)
 }
 
+// connectTimePerHost is how long after its start a host takes, for each host of its place, to connect with them in advance.
+// Meanwhile it opens the connection to a relay that it needs. If each host that is connected with none were its own relay, a
+// restart of all would end in a connection of every host with every holder, which fills the link of a small one.
+const connectTimePerHost = 100 * time.Millisecond
+
 // relaysFor returns the hosts that may be the relay for a holder: none if the holder is in this place, or if hosts are
 // few enough to be connected with each other. a.mu must be held.
 func (a *Agent) relaysFor(holder string) []string {
@@ -57,9 +63,9 @@
 	return a.hostAddrs
 }
 
-// choosePeer returns the host that all of hosts choose for a key, among those that are connected and have not just
-// failed, or "" if that is this host or there is none.
-func (a *Agent) choosePeer(hosts []string, key string) string {
+// choosePeer returns the host that all of hosts choose for a key, among those that have not just failed and, unless
+// connecting is set, are connected; or "" if that is this host or there is none.
+func (a *Agent) choosePeer(hosts []string, key string, connecting bool) string {
 	now := a.Clock.Now()
 	usable := func(host string) bool {
 		if host == a.Addr {
@@ -68,7 +74,7 @@
 		a.mu.Lock()
 		failed := a.recentlyFailed(now, host)
 		a.mu.Unlock()
-		return !failed && a.Transport.Connected(host)
+		return !failed && (connecting || a.Transport.Connected(host))
 	}
 	if chosen := relay.Choose(hosts, key, usable); chosen != a.Addr {
 		return chosen
@@ -127,7 +133,7 @@
 		hosts = nil
 	}
 	a.mu.Unlock()
-	host := a.choosePeer(hosts, admitKey+team)
+	host := a.choosePeer(hosts, admitKey+team, false)
 	if host == "" {
 		return false, nil
 	}
--- a/internal/agent/peers_test.go
+++ b/internal/agent/peers_test.go
@@ -43,7 +43,7 @@
 func (c *cluster) admitter(t *testing.T, team string) *testAgent {
 	t.Helper()
 	a := c.agents[0]
-	addr := a.choosePeer(a.hostAddrs, admitKey+team)
+	addr := a.choosePeer(a.hostAddrs, admitKey+team, false)
 	for _, b := range c.agents {
 		if b.Addr == addr || addr == "" && b == a {
 			return b
@@ -163,3 +163,38 @@
 		is.True(time.Since(start) < attemptTimeout)
 	}
 }
+
+// Guards against a connection of every host with every holder after a restart of all hosts, each of which would be its own relay
+// until it is connected with its place.
+func TestStartingHostsAgreeOnRelays(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4)
+	var addrs []string
+	for _, a := range c.agents {
+		addrs = append(addrs, a.Addr)
+	}
+	relays := func(holder string) map[string]bool {
+		chosen := map[string]bool{}
+		for _, a := range c.agents {
+			a.Agent.mu.Lock()
+			a.hostAddrs, a.placeHosts = addrs, true
+			a.Agent.mu.Unlock()
+			relay := a.Relay(holder)
+			if relay == "" {
+				relay = a.Addr
+			}
+			chosen[relay] = true
+		}
+		return chosen
+	}
+	for _, a := range c.agents {
+		a.started = a.Clock.Now().Add(time.Minute) // they stay starting for the whole test
+	}
+	for i := range 20 {
+		is.Equal(len(relays(fmt.Sprintf("10.2.0.%d:7400", i+1))), 1)
+	}
+	for _, a := range c.agents {
+		a.started = a.Clock.Now().Add(-time.Minute)
+	}
+	is.Equal(len(relays("10.2.0.1:7400")), len(c.agents)) // a host that is lost isn't dialed again and again
+}
