--- a/internal/control/places.go
+++ b/internal/control/places.go
@@ -14,10 +14,17 @@
 
 var placeOrders = metrics.NewCounter(`citron_control_place_orders_total`) // accepted orders to empty or refill a place
 
-// checkPlace returns an error if an order is for a place that neither the settings of the host that received it name, nor
-// any target or host belongs to.
+var errOwnedServices = errors.New("only the targets of deployed services can be kept without work; services of the catalog have owners")
+
+// checkPlace returns an error if an order would have no effect: because this installation has no deployed services, or
+// because neither the settings of the host that received it name its place, nor any target or host belongs to it.
 func (s *Server) checkPlace(o *catalog.PlaceOrder) error {
-	if o == nil || o.Declared {
+	switch {
+	case o == nil:
+		return nil
+	case s.TargetControl == nil:
+		return errOwnedServices
+	case o.Declared:
 		return nil
 	}
 	for _, group := range s.Machine.Groups() {
--- a/internal/control/places_test.go
+++ b/internal/control/places_test.go
@@ -182,7 +182,7 @@
 	is.True(r.leader.targetLeases.Lease("p").Releasing()) // nothing elsewhere can take over
 }
 
-// Guards against an order for a place that nobody knows, which would be acknowledged without effect.
+// Guards against an order that would be acknowledged without effect: for a place that nobody knows, or without target leases.
 func TestUnknownPlace(t *testing.T) {
 	is := is.New(t)
 	r := newPlacesTest(t)
@@ -191,6 +191,8 @@
 	is.NoErr(r.checkPlace(&catalog.PlaceOrder{Place: "w", Declared: true}))
 	r.leader.hosts["host"] = &hostState{place: "w"}
 	is.NoErr(r.checkPlace(&catalog.PlaceOrder{Place: "w"}))
+	r.TargetControl = nil
+	is.Equal(r.checkPlace(&catalog.PlaceOrder{Place: "x"}), errOwnedServices)
 }
 
 // Guards against a change that a majority in one place acknowledges, so that it is lost with the place, and against one that is
