budget: count nothing without a limit

Cause: without a limit, each statement still took the budget's lock.

Measured: the tests of budget and entry, TestChargedStream, TestEndToEnd and TestLineCrowdWhole pass with -race.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -17,7 +17,7 @@
 
 // Limits are the limits of a Budget.
 type Limits struct {
-	Bytes     int64 // charged to all accounts; 0: unlimited
+	Bytes     int64 // charged to all accounts; 0: unlimited, and nothing is counted
 	FreeBytes int64 // of each account, not charged
 }
 
--- a/internal/budget/wait.go
+++ b/internal/budget/wait.go
@@ -16,7 +16,7 @@
 
 // hold is Hold; waiting is the number of bytes that are in memory during the wait.
 func (a *Account) hold(bytes int64, closable bool, waiting int64) bool {
-	if a.bytes == 0 && bytes <= a.budget.limits.FreeBytes {
+	if limits := a.budget.limits; limits.Bytes == 0 || a.bytes == 0 && bytes <= limits.FreeBytes {
 		return true
 	}
 	var timeout <-chan time.Time
