tunnel: drop bytes that the far end hasn't acknowledged in time

The other host checked the validity of the leader's bytes before it wrote them, but its kernel went on sending what it had accepted until the leader reset the stream: for longer than a leader lease if the leader is cut off from the host, or the host's process stands still. TCP_USER_TIMEOUT now bounds their delivery to the rest of the validity.

TestBytesThatAreNotDeliveredAreDropped failed before (the write ended at the test's deadline of 10 s) and passes with the change.

--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/sys/unix"
 
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/consensus"
@@ -159,7 +160,7 @@
 			s.Reset()
 			return
 		}
-		pass(s, conn, func() bool { return clk.Now().Before(validUntil) })
+		pass(s, conn, func() time.Duration { return validUntil.Sub(clk.Now()) })
 	}
 }
 
@@ -175,10 +176,10 @@
 }
 
 // pass copies between the leader's stream and the connection until the connection ends or the leader resets the stream. Bytes
-// of the leader are passed on while valid returns true.
-func pass(s transport.Stream, conn net.Conn, valid func() bool) {
+// of the leader are passed on while left, the rest of their validity, is positive.
+func pass(s transport.Stream, conn net.Conn, left func() time.Duration) {
 	go func() {
-		_, _ = io.Copy(validWriter{conn, valid}, s)
+		_, _ = io.Copy(validWriter{conn, left}, s)
 		discard(conn) // the leader has ended the connection, or its bytes are too late
 	}()
 	_, _ = io.Copy(s, conn)
@@ -196,14 +197,37 @@
 
 var errTooLate = errors.New("the time in which the leadership was confirmed is over")
 
+// validWriter writes to a connection while the bytes are valid. The kernel drops what the far end hasn't acknowledged by then:
+// it would otherwise go on sending it, also if the leader is cut off from this host or this process stands still.
 type validWriter struct {
-	conn  net.Conn
-	valid func() bool
+	conn net.Conn
+	left func() time.Duration
 }
 
 func (w validWriter) Write(p []byte) (int, error) {
-	if !w.valid() {
+	left := w.left()
+	if left <= 0 {
 		return 0, errTooLate
 	}
+	if err := boundDelivery(w.conn, left); err != nil {
+		return 0, err
+	}
 	return w.conn.Write(p)
 }
+
+// boundDelivery ends a TCP connection whose peer leaves bytes unacknowledged for longer than d.
+func boundDelivery(conn net.Conn, d time.Duration) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, max(1, int(d.Milliseconds())))
+	})
+	return errors.Join(err, setErr)
+}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -161,6 +162,23 @@
 	is.Equal(far.lines.Load(), int32(1))
 }
 
+// Guards against an order that the kernel of the other host goes on sending once another leader may have been elected: a far end
+// that takes no bytes stands for a link that loses them.
+func TestBytesThatAreNotDeliveredAreDropped(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0") // its connections aren't read from
+	is.NoErr(err)
+	defer l.Close()
+	d := newDialer(t, clock.NewFake(time.Unix(1000, 0)), l.Addr().String())
+	conn, err := d.Dial(t.Context(), l.Addr().String())
+	is.NoErr(err)
+	is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+	for err == nil {
+		_, err = conn.Write(make([]byte, 64<<10))
+	}
+	is.True(!errors.Is(err, os.ErrDeadlineExceeded))
+}
+
 // Guards against a wait for other hosts after the far end has refused the connection.
 func TestRefusalEndsTheSearch(t *testing.T) {
 	is := is.New(t)
