agent: look for a way to control when a token call has lost the last one

Requests for tokens only use a way that is known, and fail at once while there is none; renewals look for one. If a Borrow call was the one that left the host without a way, it sent no renewal, so that teams without reserve were refused until the next regular one, up to 2 s later in a large deployment. It now requests a renewal.

TestLostWayOfTokensIsLookedForAtOnce failed before for a lost direct way and a lost detour (no renewal requested).

--- a/internal/agent/borrow.go
+++ b/internal/agent/borrow.go
@@ -159,7 +159,8 @@
 	}
 }
 
-// callBorrow sends a Borrow call and records what its outcome says about the way to control.
+// callBorrow sends a Borrow call and records what its outcome says about the way to control. If no way is known any more, it
+// requests a renewal, which looks for one: statements without tokens are refused until then.
 func (a *Agent) callBorrow(to controlTarget, req *wire.Borrow, reply *wire.TokenGrant) error {
 	req.Forward = to.asksToForward()
 	borrowCalls.Inc()
@@ -173,6 +174,9 @@
 	default:
 		a.recordAnsweredCall(to, true)
 	}
+	if err != nil && a.searchesControl() {
+		a.RenewNow()
+	}
 	return err
 }
 
--- a/internal/agent/detour.go
+++ b/internal/agent/detour.go
@@ -154,6 +154,13 @@
 	}
 }
 
+// searchesControl reports whether this host knows no way to control and looks for one.
+func (a *Agent) searchesControl() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Detours && a.detours.unanswered >= detourAfter && a.detours.via == ""
+}
+
 // takesDetours reports whether this host asks other entry hosts because control hosts don't answer.
 func (a *Agent) takesDetours() bool {
 	a.mu.Lock()
--- a/internal/agent/partition_test.go
+++ b/internal/agent/partition_test.go
@@ -130,6 +130,25 @@
 	is.True(!a.nextControlTarget().detour) // a renewal tries the direct way again
 }
 
+// Guards against statements that are refused for want of tokens until the next regular renewal, because a Borrow call was the one
+// that found the last known way silent and only renewals look for another.
+func TestLostWayOfTokensIsLookedForAtOnce(t *testing.T) {
+	for name, d := range map[string]detourState{"direct": {unanswered: detourAfter - 1}, "detour": {unanswered: detourAfter, via: "127.0.0.1:1"}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, _ := newSearchingAgent(t)
+			a.Agent.mu.Lock()
+			a.detours = d
+			a.Agent.mu.Unlock()
+			for len(a.wake) > 0 {
+				<-a.wake
+			}
+			is.True(a.callBorrow(controlTarget{addr: "127.0.0.1:1", detour: d.via != ""}, &wire.Borrow{}, &wire.TokenGrant{}) != nil)
+			is.Equal(len(a.wake), 1)
+		})
+	}
+}
+
 // Guards against a search for a detour that ends because each direct call in between takes longer than the time until the next
 // one is due.
 func TestSearchGoesOnAfterSlowDirectCalls(t *testing.T) {
