gateway: don't refuse for the queue of a target that can't run the statement

A write that found no primary was refused at once as too busy if its team had a long wait at a replica, or at the primary before, which was remembered for up to 500 ms. It now waits for the next primary as before, and the time to return that a refusal names is that of a target that can run it.

TestBusyReplicaDoesNotRefuseWrites failed before with 53300 for 57P03.

--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -41,6 +41,22 @@
 	is.NoErr(err)
 }
 
+// Guards against a write that is refused without a wait for the next primary, because its team would wait too long at a target
+// that can't run it.
+func TestBusyReplicaDoesNotRefuseWrites(t *testing.T) {
+	is := is.New(t)
+	g, h, _ := newTestGateway(t)
+	g.router.recordBusy("a", "t", 40*time.Millisecond, 200*time.Millisecond)
+	g.router.recordBusy("p", "t", 40*time.Millisecond, 200*time.Millisecond)
+	h.targets[0].Primary = false // the primary before
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // ends the wait
+	_, err := mustOpen(t, g, "current").Do(ctx, writeStatement())
+	is.Equal(verdict.As(err).Code, verdict.CodeUnavailable)
+	is.Equal(verdict.As(err).RetryAfter, time.Duration(0))
+	is.Equal(len(h.sent), 0)
+}
+
 // Load: the replicas of a service are behind. Guards against reads that are sent to a replica whose holder has said that it is
 // behind, against a replica that is left alone longer than that, and for reads that it can serve.
 func TestReplicaBehindIsLeftAlone(t *testing.T) {
--- a/internal/gateway/waits.go
+++ b/internal/gateway/waits.go
@@ -66,14 +66,17 @@
 	return r.stats(target).teamWait(now, team)
 }
 
-// untilAdmitted returns the least time until a target of the statement's service that is known to be too busy may admit it,
+// untilAdmitted returns the least time until a target that could run the statement and is known to be too busy may admit it,
 // or 0 if none is.
 func (r *router) untilAdmitted(run *statementRun) time.Duration {
-	now := r.cfg.Clock.Now()
+	now, req := r.cfg.Clock.Now(), run.requirement()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var least time.Duration
 	for _, route := range r.cfg.Directory.TargetsOf(run.route.Service) {
+		if r.unusable(route, req) != "" {
+			continue
+		}
 		if wait := r.stats(route.Target).untilAdmitted(now, run); wait > 0 && (least == 0 || wait < least) {
 			least = wait
 		}
