admission: forget teams that were refused or have only asked

A team at a target was kept in memory, and looked at with each grant, if its only requests were refused, left in vain, or asked for the expected wait, as each statement that may be declined does. It is now removed like one whose last request has ended.

TestRefusedTeamsAreForgotten saw 99 teams in place of 1 before.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -354,3 +355,21 @@
 	n, _ := gate.Load("a")
 	is.Equal(n, 0)
 }
+
+// Load: many teams are refused, leave in vain or only ask for their wait. Guards against memory for teams that use nothing.
+func TestRefusedTeamsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(Config{})
+	q.SetTarget("a", 1, 10)
+	is.NoErr(q.Enqueue(epoch, Request{ID: 1, Target: "a", Team: "busy"}))
+	is.Equal(len(q.Grant(epoch)), 1)
+	now := epoch.Add(time.Second) // the target has stalled
+	for id := uint64(2); id < 100; id++ {
+		team := fmt.Sprint(id)
+		q.ExpectedWait(now, Request{Target: "a", Team: team})
+		is.True(q.Enqueue(now, Request{ID: id, Target: "a", Team: team, Deadline: now.Add(time.Millisecond)}) != nil)
+		is.NoErr(q.Enqueue(now, Request{ID: id, Target: "a", Team: team}))
+		is.True(q.Cancel(id))
+	}
+	is.Equal(len(q.targets["a"].teams), 1)
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -141,6 +141,7 @@
 	t.share = r.Share
 	if !r.InBlock {
 		if err := q.checkLimits(now, tq, t, r); err != nil {
+			tq.removeIdle(r.Team)
 			return err
 		}
 	}
@@ -189,6 +190,7 @@
 	if r.Share <= 0 {
 		r.Share = 1
 	}
+	defer tq.removeIdle(r.Team)
 	return q.expectedWait(now, tq, tq.team(r.Team), r)
 }
 
@@ -331,6 +333,7 @@
 	}
 	delete(q.waiting, id)
 	qr.team.remove(qr)
+	qr.queue.removeIdle(qr.req.Team)
 	return true
 }
 
