gateway: explain what is refused as busy, behind or emptied

The explanation left out the targets' last refusals and emptied places, which were added to the choice beside it: it named a target to which the operation would not be sent, or another reason of its refusal. It now leaves out the same targets and takes the error from the same function.

TestExplanationIsWhatHappens draws refusals and emptied places as well, and failed so before.

--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -124,16 +124,22 @@
 		e.Floor = req.minPosition.String()
 	}
 	e.Limits = append(e.Limits, Limit{"saving that pays for leaving the place", req.trafficCost.String(), ""})
-	routes, candidates := g.router.candidates(req, nil)
+	run := &statementRun{session: &Session{gateway: g}, route: route, team: q.Team, st: statement.Statement{Kind: q.Kind}, arrived: g.cfg.Clock.Now()}
+	excluded := g.router.excluded(req, run, nil)
+	routes, candidates := g.router.candidates(req, excluded)
 	costs := map[string]spill.Parts{}
 	for i, r := range routes {
 		costs[r.Target] = candidates[i].Parts
 	}
 	for _, r := range g.cfg.Directory.TargetsOf(req.service) {
-		e.Targets = append(e.Targets, g.explainTarget(r, req, costs[r.Target]))
+		target := g.explainTarget(r, req, costs[r.Target])
+		if target.Unusable == "" && excluded[r.Target] {
+			target.Unusable = "too busy or behind, by its last refusal"
+		}
+		e.Targets = append(e.Targets, target)
 	}
 	if len(routes) == 0 {
-		e.refuse(errNoTarget(req.service))
+		e.refuse(run.errNoTarget(g.router.untilAdmitted(run)))
 		return
 	}
 	chosen := decide(req, routes, candidates)
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -32,6 +32,17 @@
 				g.router.recordSent(target.Target)
 				g.router.recordReply(target, &wire.StatementReply{ExpectedQueueWait: wait, HeldFor: 1, Failing: rapid.Bool().Draw(rt, "failing")}, 8*time.Millisecond)
 			}
+			if rapid.IntRange(0, 2).Draw(rt, "busy") == 0 {
+				g.router.recordBusy(target.Target, "t", 30*time.Millisecond, time.Duration(rapid.IntRange(1, 40).Draw(rt, "admitted after"))*10*time.Millisecond)
+			}
+			if rapid.IntRange(0, 2).Draw(rt, "behind") == 0 {
+				g.router.recordBehind(target.Target, requirement{maxAge: maxAge}, &wire.StatementReply{RetryAfter: 300 * time.Millisecond})
+			}
+		}
+		if rapid.IntRange(0, 4).Draw(rt, "emptied") == 0 {
+			c := h.catalogSnapshot.Catalog()
+			c.Places = map[string]catalog.Place{"x": {Emptied: true}, "y": {Emptied: rapid.Bool().Draw(rt, "both")}}
+			h.catalogSnapshot, _ = catalog.NewSnapshot(c)
 		}
 		clock.Advance(time.Duration(rapid.IntRange(0, 400).Draw(rt, "later")) * time.Millisecond)
 		database := rapid.SampledFrom([]string{"current", "aged", "own", "missing"}).Draw(rt, "database")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -140,11 +140,14 @@
 		targetRoute := chosen.TargetRoute
 		if !ok {
 			if g.router.allEmptied(run.route.Service) {
-				return statement.Result{}, targetRoute, nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "all targets of service %q are in emptied places", run.route.Service)
+				return statement.Result{}, targetRoute, nil, run.errNoTarget(0)
 			}
 			wait := g.router.untilAdmitted(run)
 			if lastErr == nil || wait > 0 && verdict.Of(lastErr) == verdict.NotRun {
 				lastErr = run.errNoTarget(wait)
+				if wait > 0 {
+					g.metrics.refusedBusy.Inc()
+				}
 			}
 			if run.elapsed()+max(wait, retryInterval) > waitLimit || !sleep(ctx, retryInterval) {
 				return statement.Result{}, targetRoute, nil, lastErr
@@ -187,10 +190,6 @@
 	}
 }
 
-func errNoTarget(service string) error {
-	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no usable target at present", service)
-}
-
 // targetWaitLimit returns how long a statement of a route may wait for a usable target.
 func targetWaitLimit(route *catalog.Route) time.Duration {
 	if route.LatencyObjective > 0 {
@@ -213,11 +212,14 @@
 // errNoTarget returns the error of a statement for which no target can be chosen. wait is the time until one may admit it, if
 // they are busy.
 func (run *statementRun) errNoTarget(wait time.Duration) error {
-	if wait > 0 {
-		run.session.gateway.metrics.refusedBusy.Inc()
-		return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "the targets of service %q are too busy to start a statement in time", run.route.Service).WithRetryAfter(wait)
+	service := run.route.Service
+	switch {
+	case run.session.gateway.router.allEmptied(service):
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "all targets of service %q are in emptied places", service)
+	case wait > 0:
+		return verdict.New(verdict.NotRun, verdict.CodeTooBusy, "the targets of service %q are too busy to start a statement in time", service).WithRetryAfter(wait)
 	}
-	return errNoTarget(run.route.Service)
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "service %q has no usable target at present", service)
 }
 
 // requirement returns what the statement requires of its target.
