pgwire: release reservations of frames up to 32 KiB

A Reader keeps the buffer of a frame of up to 32 KiB, and kept its reservation as well: four copies, charged as long as the session was idle, and not closable. Some hundred idle sessions that had each sent one statement of 20 KiB would have used up the memory for all clients of a host for good. Readers with a reservation now release the buffer with the frame. TestReservationEndsWithFrame failed before (10,245 bytes reserved, want 0).

--- a/internal/pgwire/frame.go
+++ b/internal/pgwire/frame.go
@@ -133,11 +133,12 @@
 		_, _ = r.src.Discard(r.returned) // can't fail: the bytes are buffered
 		r.returned = 0
 	}
-	if cap(r.large) > 4*readBufferBytes {
+	switch {
+	case r.reserve != nil && r.large != nil:
+		r.large = nil // a kept buffer would stay reserved while the connection is idle
+		_ = r.reserve(0)
+	case cap(r.large) > 4*readBufferBytes:
 		r.large = nil // the buffer of a single huge frame must not be kept for the life of a session
-		if r.reserve != nil {
-			_ = r.reserve(0)
-		}
 	}
 }
 
