entry: keep the wake-up of a lost transaction while a frame arrives

The deadline of a large frame replaced the one that wakes the read loop after a lost transaction, so that the connection stayed open until the frame was complete or its time was over. TestFrameDeadlineKeepsWakeUp failed before.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -30,11 +30,11 @@
 	c.setFrameDeadline(time.Time{})
 }
 
-// setFrameDeadline sets the deadline of the read, unless a shutdown or the idle timeout has set one.
+// setFrameDeadline sets the deadline of the read, unless a shutdown, a lost transaction or the idle timeout has set one.
 func (c *caller) setFrameDeadline(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.draining && !c.idleTimer.expired {
+	if !c.draining && !c.connBroken && !c.idleTimer.expired {
 		_ = c.nc.SetReadDeadline(deadline)
 	}
 }
