budget: don't close more accounts than needed, and end waits of closed ones

Each account that waited closed another one at each attempt, although one that was closed before was about to free enough; and an account that was closed while it waited for memory itself kept its bytes for up to 1 s more. Closed accounts that their client holds now count as about to be free, they get no more, and they are woken. TestClosedAccounts failed before: a second account was closed.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -64,9 +64,10 @@
 func (b *Budget) Open(close func()) *Account { return &Account{budget: b, close: close} }
 
 // charge sets the bytes that the account holds. If that exceeds the budget, it changes nothing and returns false, with
-// the account to close, or nil if there is none, and a channel that is closed when there may be room. closable
-// says that the client decides how long the bytes are held. A decrease is never refused. A single account may exceed
-// the limit if no other one has a charge, so that each message of legal size is served by a host at rest.
+// the account to close, or nil if there is none, and a channel that is closed when there may be room. The channel is
+// nil if the account itself was closed; it gets no more. closable says that the client decides how long the bytes are
+// held. A decrease is never refused. A single account may exceed the limit if no other one has a charge, so that each
+// message of legal size is served by a host at rest.
 func (a *Account) charge(now time.Time, bytes int64, closable bool) (ok bool, victim *Account, freed <-chan struct{}) {
 	b := a.budget
 	b.mu.Lock()
@@ -75,15 +76,20 @@
 		bytes = min(bytes, b.limits.Bytes)
 	}
 	a.closable = closable
-	if bytes > a.bytes && b.limits.Bytes > 0 && b.used-a.bytes+bytes > b.limits.Bytes {
-		return false, b.costliest(now, a), b.freed
+	if bytes > a.bytes && a.closed {
+		return false, nil, nil
+	}
+	if excess := b.used - a.bytes + bytes - b.limits.Bytes; bytes > a.bytes && b.limits.Bytes > 0 && excess > 0 {
+		if victim = b.costliest(now, a, excess); victim != nil {
+			b.wake() // it may be waiting for memory itself
+		}
+		return false, victim, b.freed
 	}
 	if a.bytes == 0 {
 		a.since = now
 	}
 	if bytes < a.bytes {
-		close(b.freed)
-		b.freed = make(chan struct{})
+		b.wake()
 	}
 	b.used += bytes - a.bytes
 	b.peak = max(b.peak, b.used)
@@ -97,6 +103,12 @@
 	return true, nil, nil
 }
 
+// wake makes waiting accounts try again. The mutex is held.
+func (b *Budget) wake() {
+	close(b.freed)
+	b.freed = make(chan struct{})
+}
+
 // SetClosable says whether the client decides from now on how long the bytes are held.
 func (a *Account) SetClosable(closable bool) {
 	if !a.hasBytes.Load() {
@@ -119,18 +131,22 @@
 }
 
 // costliest marks the account that has cost most as closed and returns it, or nil if none may be closed in favour
-// of a.
-func (b *Budget) costliest(now time.Time, a *Account) *Account {
+// of a, or if those that were closed before are about to free the excess.
+func (b *Budget) costliest(now time.Time, a *Account, excess int64) *Account {
 	var victim *Account
 	var most float64
 	for other := range b.charged {
+		if other.closed && other.closable {
+			excess -= other.bytes
+		}
 		age := now.Sub(other.since)
 		if cost := float64(other.bytes) * age.Seconds(); other != a && other.closable && !other.closed && age >= closeAge && cost > most {
 			victim, most = other, cost
 		}
 	}
-	if victim != nil {
-		victim.closed = true
+	if victim == nil || excess <= 0 {
+		return nil
 	}
+	victim.closed = true
 	return victim
 }
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -70,3 +70,29 @@
 	ok, _, _ = next.charge(start.Add(closeAge), 50, true)
 	is.True(ok)
 }
+
+// Guards against further accounts that are closed although one that was closed before frees enough, and against a closed
+// account that takes more memory, or keeps waiting for it with what it holds.
+func TestClosedAccounts(t *testing.T) {
+	is := is.New(t)
+	b := New(Limits{Bytes: 100})
+	start := time.Unix(0, 0)
+	long, short, next := b.Open(nil), b.Open(nil), b.Open(nil)
+	for _, a := range []*Account{long, short} {
+		ok, _, _ := a.charge(start, 50, true)
+		is.True(ok)
+	}
+	later := start.Add(closeAge)
+	_, victim, _ := next.charge(later, 30, true)
+	is.True(victim == long || victim == short)
+	_, second, _ := next.charge(later, 30, true)
+	is.Equal(second, nil)
+	_, second, _ = next.charge(later, 60, true) // more than the closed one frees
+	is.True(second != nil && second != victim)
+
+	_, _, _ = second.charge(later, 0, false)
+	is.True(!victim.Hold(60, true)) // there is room, but the connection is closed
+	is.True(victim.Hold(0, false))
+	used, _ := b.Used()
+	is.Equal(used, int64(0))
+}
--- a/internal/budget/wait.go
+++ b/internal/budget/wait.go
@@ -6,7 +6,7 @@
 const WaitLimit = time.Second
 
 // Hold sets the bytes that the account holds. If the memory is short, it closes the account that has cost most, and
-// waits up to WaitLimit for room. It returns false if there was none. closable says that the client decides how long
+// waits up to WaitLimit for room. It returns false if there was none, or if the account was closed. closable says that the client decides how long
 // the bytes are held. It is not called concurrently.
 func (a *Account) Hold(bytes int64, closable bool) bool { return a.hold(bytes, closable, 0) }
 
@@ -25,6 +25,9 @@
 		if ok {
 			return true
 		}
+		if freed == nil {
+			return false
+		}
 		if victim != nil {
 			victim.close()
 		}
