platform, daemon: crowd tests wait for the start of their host as long as it takes

TestLineCrowdOpen and TestLineCrowdReadiness, and here TestLineCrowdWhole (load average 26), failed before their crowd began: "no control host accepted or rejected the configuration in 100 attempts". The bounds, the crowds and the checks after them are unchanged.

--- a/internal/crowdtest/process.go
+++ b/internal/crowdtest/process.go
@@ -90,6 +90,24 @@
 	return p
 }
 
+// AwaitStart repeats attempts until one succeeds, before a crowd begins. It fails the test if the process ends. The time
+// depends on the machine, therefore only the time limit of the test binary bounds it.
+func (p *Process) AwaitStart(what string, attempt func() bool) {
+	p.t.Helper()
+	const attemptInterval, reportTime = 50 * time.Millisecond, 15 * time.Second
+	limit, limited := p.t.Deadline()
+	for !attempt() {
+		select {
+		case <-p.exited:
+			p.t.Fatalf("%s: the process has ended: %v", what, p.cmd.ProcessState)
+		case <-time.After(attemptInterval):
+		}
+		if limited && time.Until(limit) < reportTime {
+			p.t.Fatalf("%s: not before the time limit of the test binary", what)
+		}
+	}
+}
+
 // tail returns the last lines of the log.
 func (p *Process) tail() string {
 	const shown = 2000
