holder, wire: accept the largest messages also from other hosts

The holder bounded a request of another host by 1 MiB, the limit of a caller's message, although the request carries the target, the team and the settings as well. A legal message of nearly 1 MiB was therefore served only if the host that received it holds the target; otherwise the stream ended without a reply. TestLargestStatementOfAnotherHost failed before (EOF instead of a reply).

--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -181,7 +181,7 @@
 // unblock a pending Read.
 func (m *Manager) Serve(ctx context.Context, stream io.ReadWriter) {
 	var req wire.StatementRequest
-	if err := wire.Read(stream, &req, wire.MaxMessageBytes); err != nil {
+	if err := wire.Read(stream, &req, wire.MaxStatementBytes); err != nil {
 		return // the stream failed before a request was read: nothing has run
 	}
 	reply, block := m.Start(ctx, req)
@@ -194,7 +194,7 @@
 	}
 	for !block.Ended() {
 		var next wire.BlockStatementRequest
-		if err := wire.Read(stream, &next, wire.MaxMessageBytes); err != nil {
+		if err := wire.Read(stream, &next, wire.MaxStatementBytes); err != nil {
 			return // the sender has disconnected; Close rolls the block back
 		}
 		reply := block.Next(ctx, next)
--- a/internal/holder/serve_test.go
+++ b/internal/holder/serve_test.go
@@ -43,3 +43,21 @@
 		}
 	}
 }
+
+// Guards against a message of the greatest legal size that isn't served because another host than the holder has
+// received it: its request is larger than the message.
+func TestLargestStatementOfAnotherHost(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	text := strings.Repeat("x", wire.MaxMessageBytes)
+	var requests bytes.Buffer
+	is.NoErr(wire.Write(&requests, newBlockRequest("t", text)))
+	is.NoErr(wire.Write(&requests, wire.BlockStatementRequest{Statement: statement.Statement{ID: "2", Kind: statement.Write, Text: text}}))
+	stream := &serveStream{Reader: &requests}
+	f.Serve(context.Background(), stream)
+	for range 2 {
+		var reply wire.StatementReply
+		is.NoErr(wire.Read(&stream.Buffer, &reply, wire.MaxMessageBytes))
+		is.Equal(reply.Code, "")
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,6 +17,9 @@
 const (
 	// MaxMessageBytes bounds a received message that never carries a snapshot or a catalog.
 	MaxMessageBytes = 1 << 20
+	// MaxStatementBytes bounds a received message with a statement: a caller's message of up to MaxMessageBytes, and
+	// what the hosts add to it.
+	MaxStatementBytes = MaxMessageBytes + 64<<10
 	// MaxSnapshotBytes bounds a received message that may carry a snapshot or a catalog, and every message
 	// that Write sends.
 	MaxSnapshotBytes = 4 << 20
