budget, platform: wait for memory at most half of the route's time

A message waited up to 1 s for memory before it was refused, also on routes that give a statement 800 ms, so that the refusal came after the caller's deadline. TestWaitEndsBeforeRequest and TestRequestTime check the limit; the 1 s was a constant before.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -47,8 +47,9 @@
 
 // Account is the part of one connection.
 type Account struct {
-	budget *Budget
-	close  func()
+	budget  *Budget
+	close   func()
+	maxWait time.Duration // for room
 
 	// The budget's mutex guards the following fields. bytes is changed by the connection's goroutine only, which may
 	// therefore read it without the mutex.
@@ -61,7 +62,9 @@
 
 // Open returns an account without a charge. close closes its connection; it is called at most once, and not while
 // the budget is locked.
-func (b *Budget) Open(close func()) *Account { return &Account{budget: b, close: close} }
+func (b *Budget) Open(close func()) *Account {
+	return &Account{budget: b, close: close, maxWait: WaitLimit}
+}
 
 // charge sets the bytes that the account holds. If that exceeds the budget, it changes nothing and returns false, with
 // the account to close, or nil if there is none, and a channel that is closed when there may be room. The channel is
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -96,3 +96,18 @@
 	used, _ := b.Used()
 	is.Equal(used, int64(0))
 }
+
+// Guards against a wait for memory that outlasts the time that the client gives its request.
+func TestWaitEndsBeforeRequest(t *testing.T) {
+	is := is.New(t)
+	b := New(Limits{Bytes: 100})
+	is.True(b.Open(nil).Hold(100, false))
+	a := b.Open(nil)
+	is.Equal(a.maxWait, WaitLimit)
+	a.LimitWait(time.Hour)
+	is.Equal(a.maxWait, WaitLimit)
+	a.LimitWait(800 * time.Millisecond)
+	is.Equal(a.maxWait, 400*time.Millisecond)
+	a.LimitWait(time.Nanosecond)
+	is.True(!a.Hold(1, false))
+}
--- a/internal/budget/wait.go
+++ b/internal/budget/wait.go
@@ -5,8 +5,12 @@
 // WaitLimit bounds the wait for memory.
 const WaitLimit = time.Second
 
+// LimitWait shortens the wait to half of the time that the client gives a request, so that a refusal reaches it in time.
+// It must not be called concurrently with Hold or Keep.
+func (a *Account) LimitWait(requestTime time.Duration) { a.maxWait = min(WaitLimit, requestTime/2) }
+
 // Hold sets the bytes that the account holds. If the memory is short, it closes the account that has cost most, and
-// waits up to WaitLimit for room. It returns false if there was none, or if the account was closed. closable says that the client decides how long
+// waits up to WaitLimit, or LimitWait, for room. It returns false if there was none, or if the account was closed. closable says that the client decides how long
 // the bytes are held. It is not called concurrently.
 func (a *Account) Hold(bytes int64, closable bool) bool { return a.hold(bytes, closable, 0) }
 
@@ -36,7 +40,7 @@
 				return false
 			}
 			defer a.budget.addWaiting(-waiting)
-			timer := time.NewTimer(WaitLimit)
+			timer := time.NewTimer(a.maxWait)
 			defer timer.Stop()
 			timeout = timer.C
 		}
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/citronrun/citronrun/internal/catalog"
 	"github.com/citronrun/citronrun/internal/position"
 	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
@@ -92,3 +93,13 @@
 	is.Equal(tokenWait(time.Minute, controlSilence), maxTokenWait)
 	is.Equal(tokenWait(120*time.Millisecond, controlSilence+1), 20*time.Millisecond)
 }
+
+// Guards against a host that lets a session wait for memory longer than its route allows.
+func TestRequestTime(t *testing.T) {
+	is := is.New(t)
+	g, h, _ := newTestGateway(t)
+	s := mustOpen(t, g, "aged")
+	is.Equal(s.RequestTime(), time.Second)
+	h.deploy(t, func(d *catalog.Deployment) { d.Version, d.Routes = 2, nil })
+	is.Equal(s.RequestTime(), time.Duration(0))
+}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -123,6 +123,14 @@
 	}
 }
 
+// RequestTime returns the time that the session's route gives a statement, or 0 if it has no route at present.
+func (s *Session) RequestTime() time.Duration {
+	if _, route, err := s.gateway.routeOf(s.database); err == nil {
+		return route.Timeout
+	}
+	return 0
+}
+
 // StateBytes returns the size of the session's settings and prepared statements.
 func (s *Session) StateBytes() (bytes int64) {
 	for name, value := range s.settings {
