--- a/internal/budget/wait.go
+++ b/internal/budget/wait.go
@@ -10,8 +10,8 @@
 func (a *Account) LimitWait(requestTime time.Duration) { a.maxWait = min(WaitLimit, requestTime/2) }
 
 // Hold sets the bytes that the account holds. If the memory is short, it closes the account that has cost most, and
-// waits up to WaitLimit, or LimitWait, for room. It returns false if there was none, or if the account was closed. closable says that the client decides how long
-// the bytes are held. It is not called concurrently.
+// waits up to WaitLimit, or as long as LimitWait says, for room. It returns false if there was none, or if the account
+// was closed. closable says that the client decides how long the bytes are held. It is not called concurrently.
 func (a *Account) Hold(bytes int64, closable bool) bool { return a.hold(bytes, closable, 0) }
 
 // Keep is Hold for bytes that are in memory already, such as a result. It doesn't wait if too many such bytes are
