--- a/internal/budget/wait.go
+++ b/internal/budget/wait.go
@@ -5,9 +5,13 @@
 // WaitLimit bounds the wait for memory.
 const WaitLimit = time.Second
 
+// LimitWait shortens the wait to half of the time that the client gives a request, so that a refusal reaches it in time.
+// It must not be called concurrently with Hold or Keep.
+func (a *Account) LimitWait(requestTime time.Duration) { a.maxWait = min(WaitLimit, requestTime/2) }
+
 // Hold sets the bytes that the account holds. If the memory is short, it closes the account that has cost most, and
-// waits up to WaitLimit for room. It returns false if there was none. closable says that the client decides how long
-// the bytes are held. It is not called concurrently.
+// waits up to WaitLimit, or as long as LimitWait says, for room. It returns false if there was none, or if the account
+// was closed. closable says that the client decides how long the bytes are held. It is not called concurrently.
 func (a *Account) Hold(bytes int64, closable bool) bool { return a.hold(bytes, closable, 0) }
 
 // Keep is Hold for bytes that are in memory already, such as a result. It doesn't wait if too many such bytes are
@@ -25,6 +29,9 @@
 		if ok {
 			return true
 		}
+		if freed == nil {
+			return false
+		}
 		if victim != nil {
 			victim.close()
 		}
@@ -33,7 +40,7 @@
 				return false
 			}
 			defer a.budget.addWaiting(-waiting)
-			timer := time.NewTimer(WaitLimit)
+			timer := time.NewTimer(a.maxWait)
 			defer timer.Stop()
 			timeout = timer.C
 		}
