holder: count a commit as acknowledged once its target may have acknowledged it

Cause: the bound by which reads at replicas are judged covered the commits that this host had acknowledged to callers.

Change: the bound holds only up to the start of the oldest commit without a response, and a commit whose response is lost makes it unproven until a later request has been answered. The response of a commit is observed before the commit counts as finished.

Tests: in TestSamplesBoundTheAgeOfReads the primary acknowledges commits at once or with their responses, which may be lost. With the new rule in the model taken out it fails ("without commit 1/3 that was acknowledged 501ms ago"); with it 3,000 checks pass. TestSampleOutlivesThePrimary failed with the change: it demanded that the bound stays fresh after a lost commit. It now demands the opposite, and as before that the bound stays fresh while no commit is without a response.

--- a/internal/holder/bound.go
+++ b/internal/holder/bound.go
@@ -8,8 +8,9 @@
 )
 
 // ackBound is an upper bound of the positions of the acknowledged commits of a service. The holder of its primary keeps
-// it from the target's responses. It needs no answer from the target to stay valid: while a host has the primary right,
-// it alone acknowledges commits, each after the target's response.
+// it from the target's responses. While a host has the primary right, all commits pass through it. A target may acknowledge
+// a commit whose response is late or lost, so that the bound holds only up to the start of the oldest commit without a
+// response; without such a commit it needs no answer from the target to stay valid.
 type ackBound struct {
 	held bool // this host has the primary right
 	pos  position.Position
@@ -17,7 +18,7 @@
 	// holders, and those of which no position is known.
 	provenFrom time.Time
 	proven     bool      // pos covers all acknowledged commits
-	validAt    time.Time // last time at which pos was proven and the right was valid; zero: never
+	validAt    time.Time // last time up to which pos covers them; zero: never
 }
 
 // gain starts a new bound for a primary right that was gained at now.
@@ -41,10 +42,10 @@
 	}
 }
 
-// confirm records that the primary right was valid at now.
-func (b *ackBound) confirm(now time.Time) {
-	if b.held && b.proven {
-		b.validAt = now
+// confirm records that the primary right was valid at a time, and that no commit sent before it is without a response.
+func (b *ackBound) confirm(at time.Time) {
+	if b.held && b.proven && at.After(b.validAt) {
+		b.validAt = at
 	}
 }
 
--- a/internal/holder/bound_test.go
+++ b/internal/holder/bound_test.go
@@ -11,7 +11,8 @@
 )
 
 // boundModel is a service with its primary, one replica, the holders that have the primary right one after another, and
-// two hosts that keep samples for reads at the replica. Commits are acknowledged by the holder only.
+// two hosts that keep samples for reads at the replica. The primary acknowledges a commit at once or with its response, which may
+// be late or lost.
 type boundModel struct {
 	now     time.Time
 	log     position.Position // of the primary
@@ -33,6 +34,7 @@
 	pos      position.Position
 	commit   bool
 	unplaced bool // the response names no position
+	acked    bool // the primary has acknowledged the commit
 }
 
 // boundFetch is a sample under way to a store.
@@ -54,8 +56,13 @@
 	if commit {
 		m.log.Offset++
 	}
-	m.running = append(m.running, &boundRequest{by: m.holder, sentAt: m.now, pos: m.log, commit: commit, unplaced: rapid.IntRange(0, 9).Draw(rt, "unplaced") == 0})
+	r := &boundRequest{by: m.holder, sentAt: m.now, pos: m.log, commit: commit, unplaced: rapid.IntRange(0, 9).Draw(rt, "unplaced") == 0}
+	m.running = append(m.running, r)
 	m.now = m.now.Add(time.Millisecond)
+	if commit && rapid.Bool().Draw(rt, "acknowledged at once") {
+		r.acked = true
+		m.acked = append(m.acked, ackedCommit{m.now, r.pos})
+	}
 }
 
 // respond delivers a response. The holder acknowledges a commit if it still has the right.
@@ -67,15 +74,27 @@
 	r := m.running[i]
 	m.running = append(m.running[:i], m.running[i+1:]...)
 	pos := r.pos
-	if r.unplaced {
+	lost := rapid.IntRange(0, 4).Draw(rt, "lost") == 0
+	if r.unplaced || lost {
 		pos = position.Position{}
 	}
 	r.by.observe(m.now, r.sentAt, pos, r.commit)
-	if r.commit && m.right && r.by == m.holder {
+	if r.commit && !r.acked && !lost && m.right && r.by == m.holder {
 		m.acked = append(m.acked, ackedCommit{m.now, r.pos})
 	}
 }
 
+// confirm lets the holder confirm its bound, up to its oldest commit without a response.
+func (m *boundModel) confirm() {
+	at := m.now
+	for _, r := range m.running {
+		if r.by == m.holder && r.commit && r.sentAt.Before(at) {
+			at = r.sentAt
+		}
+	}
+	m.holder.confirm(at)
+}
+
 // lose ends the right of the holder.
 func (m *boundModel) lose() {
 	m.holder.lose()
@@ -117,7 +136,7 @@
 		found, ok = m.former[source].sample(m.now)
 	default:
 		if m.right {
-			m.holder.confirm(m.now)
+			m.confirm()
 		}
 		found, ok = m.holder.sample(m.now)
 	}
@@ -180,7 +199,7 @@
 		}
 		for range 100 {
 			if m.right && rapid.Bool().Draw(rt, "tick") {
-				m.holder.confirm(m.now)
+				m.confirm()
 			}
 			steps[rapid.IntRange(0, len(steps)-1).Draw(rt, "step")]()
 			m.read(rt, 0)
--- a/internal/holder/health.go
+++ b/internal/holder/health.go
@@ -72,11 +72,26 @@
 	}
 }
 
-// confirmBound records that the bound of acknowledged commits holds at now, if the primary right is still valid. mu is held.
+// recordLostCommit records that a commit has ended without a response: the target may have acknowledged it.
+func (t *target) recordLostCommit(sentAt time.Time) {
+	now := t.manager.cfg.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.bound.observe(now, sentAt, position.Position{}, true)
+}
+
+// confirmBound records that the bound of acknowledged commits holds at now, or up to the start of the oldest commit without a
+// response, if the primary right is still valid. mu is held.
 func (t *target) confirmBound(now time.Time) {
-	if t.grant.Primary && t.validInTerm(true, t.grant.Term) {
-		t.bound.confirm(now)
+	if !t.grant.Primary || !t.validInTerm(true, t.grant.Term) {
+		return
+	}
+	for stmt := range t.running {
+		if stmt.waitsForReplicas && stmt.startedAt.Before(now) {
+			now = stmt.startedAt
+		}
 	}
+	t.bound.confirm(now)
 }
 
 // keepBound passes the bound of acknowledged commits on to the samples of this host, before the target loses it. mu is
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -156,6 +156,12 @@
 	startedAt := t.manager.cfg.Clock.Now()
 	running := t.recordStart(waitsForReplicas(st, inBlock))
 	res, err := c.Run(ctx, st, minPosition)
+	switch { // before the statement counts as finished: until then the bound of acknowledged commits doesn't pass its start
+	case err == nil:
+		t.recordPosition(startedAt, res.Position, running.waitsForReplicas)
+	case connBroken(err) && running.waitsForReplicas:
+		t.recordLostCommit(startedAt)
+	}
 	t.recordFinish(running, !connBroken(err) && !refusedAsCold(err))
 	if refusedAsCold(err) {
 		t.manager.metrics.countOutcome(verdict.CodeTooBusy)
@@ -178,7 +184,6 @@
 		return res, err
 	}
 	t.manager.metrics.countOutcome("")
-	t.recordPosition(startedAt, res.Position, waitsForReplicas(st, inBlock))
 	return res, nil
 }
 
--- a/internal/holder/samples_test.go
+++ b/internal/holder/samples_test.go
@@ -142,8 +142,9 @@
 	is.Equal(tries, 2) // not before it had caught up
 }
 
-// Guards against reads at replicas that end with the primary's answers: while it is silent nothing is acknowledged, and what was
-// proved stays true after its holder has lost the right, and the lease.
+// Guards against reads at replicas that end with the primary's answers: while it is silent and no commit is without a response,
+// nothing is acknowledged, and what was proved stays true after its holder has lost the right, and the lease. Guards as well
+// against a bound that outlives a commit whose response was lost, since the primary may have acknowledged it.
 func TestSampleOutlivesThePrimary(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2)
@@ -154,20 +155,23 @@
 	f.target.onRun = func(statement.Statement) error { return errConnLost }
 	f.target.unreachable = true
 	f.clock.Advance(time.Second)
-	f.Start(context.Background(), newRequest("t", statement.Write, "lost", nil))
+	known := wire.Sample{Position: position.Position{Term: 1, Offset: 2}}
 	sample, ok := f.Sample("db", "s")
 	is.True(ok)
-	is.Equal(sample, wire.Sample{Position: position.Position{Term: 1, Offset: 2}})
+	is.Equal(sample, known)
 
+	f.Start(context.Background(), newRequest("t", statement.Write, "lost", nil))
+	for _, known.Age = range []time.Duration{time.Second, 2 * time.Second} {
+		f.clock.Advance(time.Second)
+		sample, _ = f.Sample("db", "s")
+		is.Equal(sample, known)
+	}
 	f.leases.set(false, false)
-	f.clock.Advance(time.Second)
-	sample, _ = f.Sample("db", "s")
-	is.Equal(sample.Age, time.Second)
 	f.Apply(nil)
 	f.clock.Advance(time.Second)
 	sample, ok = f.Sample("db", "s")
 	is.True(ok)
-	is.Equal(sample, wire.Sample{Position: position.Position{Term: 1, Offset: 2}, Age: 2 * time.Second})
+	is.Equal(sample, wire.Sample{Position: known.Position, Age: 3 * time.Second})
 }
 
 func eventuallyTrue(t *testing.T, condition func() bool) {
