settings: refuse more connections of callers than descriptors

Such settings are now refused at the start, with the field. The case "more than descriptors" failed before.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -161,6 +161,9 @@
 			return fieldError(f.field, "is %d, want at least 0", f.value)
 		}
 	}
+	if l := s.Limits; s.Has(RoleEntry) && l.Descriptors > 0 && l.Connections >= l.Descriptors {
+		return fieldError("limits.connections", "is %d, want less than limits.descriptors, which is %d", l.Connections, l.Descriptors)
+	}
 	for _, f := range []struct {
 		field string
 		value Duration
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,6 +47,7 @@
 		"control":                  {`["127.0.0.1:7433"]`, `["127.0.0.1:7433", "x"]`, 7, "control[1]"},
 		"missing":                  {`"ca": "ca.crt", `, ``, 8, "peer_tls.ca"},
 		"number":                   {`"queue_timeout": "2s"`, `"connections": 0`, 9, "limits.connections"},
+		"more than descriptors":    {`"queue_timeout": "2s"`, `"connections": 400, "descriptors": 400`, 9, "limits.connections"},
 		"remote admin without TLS": {`"127.0.0.1:8432"`, `"10.0.0.1:8432"`, 1, "admin"},
 		"no data directory":        {`["entry"]`, `["entry", "control"]`, 1, "data_dir"},
 		"own address":              {`["entry"]`, `["entry", "control"], "data_dir": "d"`, 7, "control"},
