entry: a caller that has stopped in a frame stays closable after a response to it

Writing a response, for example to an earlier statement, marked the account as held by the host until the frame grew again. Callers that send ahead and then stop could hold their memory for the 60 s of a large message, whoever needed it. TestHalfFrameStaysClosable failed before.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -38,7 +39,7 @@
 	cancel    context.CancelFunc
 
 	account      *budget.Account // memory of large frames
-	frameStarted bool            // a large frame is being received
+	frameStarted atomic.Bool     // a large frame is being received
 
 	batch      batch
 	skipToSync bool // a message of the extended protocol failed; those up to the next Sync are discarded
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -10,8 +10,7 @@
 // reserveFrame accounts for a large frame whose buffer grows to size bytes, or was released if size is 0. The first
 // part of the frame starts the time for all of it.
 func (c *caller) reserveFrame(size int) error {
-	if size > 0 && !c.frameStarted {
-		c.frameStarted = true
+	if size > 0 && !c.frameStarted.Swap(true) {
 		c.setFrameDeadline(time.Now().Add(c.srv.cfg.MessageTimeout))
 	}
 	if !c.account.Hold(frameCopies*int64(size), size > 0) {
@@ -22,10 +21,9 @@
 
 // endFrame records that a frame was received completely.
 func (c *caller) endFrame() {
-	if !c.frameStarted {
+	if !c.frameStarted.Swap(false) {
 		return
 	}
-	c.frameStarted = false
 	c.account.SetClosable(false)
 	c.setFrameDeadline(time.Time{})
 }
@@ -41,7 +39,7 @@
 
 // recordRefusal records that a frame wasn't received because of a limit.
 func (c *caller) recordRefusal(err error) {
-	if !c.frameStarted {
+	if !c.frameStarted.Load() {
 		return
 	}
 	switch {
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/citronrun/citronrun/internal/budget"
 )
 
 // deadlineConn records the last read deadline.
@@ -31,3 +34,19 @@
 		is.Equal(conn.deadline.Equal(wakeUp), c.connBroken || c.draining || c.idleTimer.expired)
 	}
 }
+
+// Guards against a caller that can't be closed although it has stopped in a frame, because a response was written to it
+// meanwhile.
+func TestHalfFrameStaysClosable(t *testing.T) {
+	is := is.New(t)
+	clients := budget.New(budget.Limits{Bytes: 1000})
+	closed := false
+	nc, peer := net.Pipe()
+	defer nc.Close()
+	go func() { _, _ = io.Copy(io.Discard, peer) }()
+	c := &caller{srv: &Server{cfg: Config{}.withDefaults()}, nc: nc, account: clients.Open(func() { closed = true })}
+	is.NoErr(c.reserveFrame(200))
+	is.NoErr(c.write([]byte("response")))
+	is.True(!clients.Open(nil).Hold(500, false)) // nothing is released in this test
+	is.True(closed)
+}
--- a/internal/entry/write.go
+++ b/internal/entry/write.go
@@ -50,7 +50,7 @@
 	}
 	c.account.SetClosable(true)
 	_, err := c.nc.Write(frames)
-	c.account.SetClosable(false)
+	c.account.SetClosable(c.frameStarted.Load())
 	if isTimeout(err) {
 		c.srv.cfg.Refusals.Record(budget.LimitReadTime, c.nc.RemoteAddr())
 	}
