crowdtest: end each connection of a crowd at the crowd's end

Cause: the clients of TestPgCrowdWhole send until their connection fails, at the deadline that the crowd has set. pgconn clears the deadline if its context ends while it connects, so that such clients went on for good. Seen: TestPgCrowdWhole with -race beside two busy loops hit the binary's limit of 10 minutes; in that time the host under test used 2:26 minutes of processor time and the test 12 minutes, both still at work; the dump showed clients that wait for their next answer. That the host went on serving them is concluded from this, it was not traced on the host. Change: the connection is closed at the end of the crowd as well. Crowd, bounds and checks are unchanged.

--- a/internal/crowdtest/process.go
+++ b/internal/crowdtest/process.go
@@ -220,6 +220,7 @@
 			}
 			defer conn.Close()
 			_ = conn.SetDeadline(c.end)
+			defer time.AfterFunc(time.Until(c.end), func() { _ = conn.Close() }).Stop() // a client library may clear the deadline
 			behave(conn)
 			<-time.After(time.Until(c.end))
 		})
