--- a/internal/crowdtest/process.go
+++ b/internal/crowdtest/process.go
@@ -241,3 +241,14 @@
 		time.Sleep(pause)
 	}
 }
+
+// Repeat returns a behaviour that sends data count times, and doesn't read.
+func Repeat(count int, data []byte) func(conn net.Conn) {
+	return func(conn net.Conn) {
+		for range count {
+			if _, err := conn.Write(data); err != nil {
+				return
+			}
+		}
+	}
+}
--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -170,17 +170,6 @@
 	return pgwire.Append(nil, pgwire.Query, append(body, tail...))
 }
 
-// repeat sends data again and again, and doesn't read.
-func repeat(count int, data []byte) func(conn net.Conn) {
-	return func(conn net.Conn) {
-		for range count {
-			if _, err := conn.Write(data); err != nil {
-				return
-			}
-		}
-	}
-}
-
 // Guards against clients that make a host use more memory or descriptors than it has, or that keep it from serving
 // ordinary callers.
 func TestPgCrowdWhole(t *testing.T) {
@@ -217,18 +206,18 @@
 	testCrowd(t, func(h *crowdHost, crowd *crowdtest.Crowd) { // messages over the limit, and many just below it
 		header := func(size int) []byte { return binary.BigEndian.AppendUint32([]byte{pgwire.Query}, uint32(size-1)) }
 		data := bytes.Repeat([]byte{'x'}, crowdFrameBytes)
-		crowd.Add(32, h.callerAddr, h.session(func(conn net.Conn) { repeat(1, header(64<<20))(conn); repeat(8, data)(conn) }))
-		crowd.Add(32, h.callerAddr, h.session(func(conn net.Conn) { repeat(1, header(16<<20))(conn); repeat(8, data)(conn) }))
-		crowd.Add(64, h.callerAddr, repeat(8, data)) // as the startup message
+		crowd.Add(32, h.callerAddr, h.session(func(conn net.Conn) { crowdtest.Repeat(1, header(64<<20))(conn); crowdtest.Repeat(8, data)(conn) }))
+		crowd.Add(32, h.callerAddr, h.session(func(conn net.Conn) { crowdtest.Repeat(1, header(16<<20))(conn); crowdtest.Repeat(8, data)(conn) }))
+		crowd.Add(64, h.callerAddr, crowdtest.Repeat(8, data)) // as the startup message
 	})
 }
 
 func TestPgCrowdAhead(t *testing.T) {
 	testCrowd(t, func(h *crowdHost, crowd *crowdtest.Crowd) { // statements sent ahead, whose answers are not read
-		crowd.Add(32, h.callerAddr, h.session(repeat(40, insert(900<<10))))
-		crowd.Add(32, h.callerAddr, h.session(repeat(400, insert(50<<10))))
+		crowd.Add(32, h.callerAddr, h.session(crowdtest.Repeat(40, insert(900<<10))))
+		crowd.Add(32, h.callerAddr, h.session(crowdtest.Repeat(400, insert(50<<10))))
 		// Statements of one batch, whose responses are due only after its end.
-		crowd.Add(32, h.callerAddr, h.session(repeat(400, pgwire.Append(nil, pgwire.Parse, append([]byte("\x00SELECT '"), append(bytes.Repeat([]byte{'x'}, 50<<10), "'\x00\x00\x00"...)...)))))
+		crowd.Add(32, h.callerAddr, h.session(crowdtest.Repeat(400, pgwire.Append(nil, pgwire.Parse, append([]byte("\x00SELECT '"), append(bytes.Repeat([]byte{'x'}, 50<<10), "'\x00\x00\x00"...)...)))))
 	})
 }
 
@@ -244,9 +233,9 @@
 			return err
 		})
 		read := pgwire.Append(nil, pgwire.Query, []byte("SELECT visitor FROM booking\x00"))
-		crowd.Add(32, h.callerAddr, h.session(repeat(200, read)))
+		crowd.Add(32, h.callerAddr, h.session(crowdtest.Repeat(200, read)))
 		crowd.Add(32, h.callerAddr, h.session(func(conn net.Conn) {
-			repeat(200, read)(conn)
+			crowdtest.Repeat(200, read)(conn)
 			for {
 				if _, err := conn.Read(make([]byte, 1)); err != nil {
 					return
@@ -260,9 +249,9 @@
 func TestPgCrowdHalfway(t *testing.T) {
 	testCrowd(t, func(h *crowdHost, crowd *crowdtest.Crowd) { // stop in the startup message, in a message, in a block
 		half := insert(crowdFrameBytes)[:crowdFrameBytes/2]
-		crowd.Add(48, h.callerAddr, repeat(1, []byte{0, 0, 32, 0, 0, 3, 0, 0, 'u', 's', 'e', 'r'}))
-		crowd.Add(64, h.callerAddr, h.session(repeat(1, half)))
-		crowd.Add(16, h.callerAddr, h.session(repeat(1, append(pgwire.Append(nil, pgwire.Query, []byte("BEGIN\x00")), half...))))
+		crowd.Add(48, h.callerAddr, crowdtest.Repeat(1, []byte{0, 0, 32, 0, 0, 3, 0, 0, 'u', 's', 'e', 'r'}))
+		crowd.Add(64, h.callerAddr, h.session(crowdtest.Repeat(1, half)))
+		crowd.Add(16, h.callerAddr, h.session(crowdtest.Repeat(1, append(pgwire.Append(nil, pgwire.Query, []byte("BEGIN\x00")), half...))))
 	})
 }
 
@@ -282,10 +271,10 @@
 		post := func(path string, size int) []byte {
 			return fmt.Appendf(nil, "POST /v1/%s HTTP/1.1\r\nHost: host\r\nContent-Length: %d\r\n\r\n", path, size)
 		}
-		crowd.Add(64, h.adminAddr, repeat(1, append(post("changes", len(body)), body[1:]...)))
-		crowd.Add(16, h.adminAddr, repeat(8, append(post("changes", 8*len(body)), body...)))
-		crowd.Add(64, h.adminAddr, repeat(1, append(post("announce", len(body)), body[1:]...)))
-		crowd.Add(64, h.adminAddr, repeat(2000, []byte("GET /metrics HTTP/1.1\r\nHost: host\r\n\r\n")))
+		crowd.Add(64, h.adminAddr, crowdtest.Repeat(1, append(post("changes", len(body)), body[1:]...)))
+		crowd.Add(16, h.adminAddr, crowdtest.Repeat(8, append(post("changes", 8*len(body)), body...)))
+		crowd.Add(64, h.adminAddr, crowdtest.Repeat(1, append(post("announce", len(body)), body[1:]...)))
+		crowd.Add(64, h.adminAddr, crowdtest.Repeat(2000, []byte("GET /metrics HTTP/1.1\r\nHost: host\r\n\r\n")))
 		crowd.Add(100, h.adminAddr, func(conn net.Conn) {
 			crowdtest.Pieces(conn, append([]byte("GET /readyz HTTP/1.1\r\nHost: host\r\n"), bytes.Repeat([]byte("X-Header: "+strings.Repeat("x", 1000)+"\r\n"), 900)...), 10000, 0)
 		})
