control: don't count the statements of a target that bears very many

Cause: the holder of a cold target keeps the time of each statement up to the limit, which follows from a number in the configuration: a very large one would have taken all memory of the holder, or ended its process. Found by reading. Change: above 100,000 statements in a second there is no limit. TestColdness failed before and passes.

--- a/internal/control/coldness.go
+++ b/internal/control/coldness.go
@@ -17,6 +17,8 @@
 const (
 	// coldShare is the share of what a cold target bears that its holder may send. The rest is for the leader's queries.
 	coldShare = 0.75
+	// maxColdLimit is the greatest limit that is counted. A target that bears more than that in a second isn't protected.
+	maxColdLimit = 100_000
 	// coldConfirmInterval is the time between two queries of a promoted target of a service that limits what cold
 	// targets get.
 	coldConfirmInterval = 250 * time.Millisecond
@@ -31,7 +33,11 @@
 	if factor <= 0 {
 		factor = 1
 	}
-	return max(1, int(coldShare*(rate*factor+t.Statements)))
+	limit := coldShare * (rate*factor + t.Statements)
+	if limit > maxColdLimit {
+		return 0
+	}
+	return max(1, int(limit))
 }
 
 // coldness returns what the holder of a target has to know of its start.
--- a/internal/control/coldness_test.go
+++ b/internal/control/coldness_test.go
@@ -22,5 +22,6 @@
 	r.clock.Advance(time.Second)
 	is.Equal(r.coldness(r.leader, r.clock.Now(), limited, "a"), wire.Coldness{Limit: 15, Known: true, HeardAgo: time.Second, Remaining: 2 * time.Second})
 	is.Equal(r.coldness(r.leader, r.clock.Now(), unlimited, "a").Limit, 0)
-	is.Equal(ColdTolerance{}.limit(0.5), 1) // a limit of 0 would be none
+	is.Equal(ColdTolerance{}.limit(0.5), 1)   // a limit of 0 would be none
+	is.Equal(ColdTolerance{}.limit(1e300), 0) // the holder keeps a time for each statement of the limit
 }
