--- a/review/stand2/wire.go
+++ b/review/stand2/wire.go
@@ -98,3 +98,8 @@
 }
 
 func (s *session) close() { _ = s.conn.Close() }
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -79,6 +79,7 @@
 	machines  []*machine
 	group     *group
 	cloudAddr string
+	frontMb   int // memory of a frontend
 	cloud     *http.Server
 	proxies   []*net.UDPConn
 	wg        sync.WaitGroup
@@ -92,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{rec: rec, dir: dir}
+	w := &world{rec: rec, dir: dir, frontMb: frontMemoryMb}
 	if err := w.choosePrefix(); err != nil {
 		return nil, errors.Join(err, os.RemoveAll(dir))
 	}
@@ -214,7 +215,7 @@
 // settings returns the settings file of a machine.
 func (m *machine) settings(bootstrap bool) string {
 	seed := m.w.controlAddrs()[0] // only one: hosts with other internal ports don't recognise each other's addresses among the seeds
-	class, serves, memory, descriptors, disk := "frontend", "frontend", frontMemoryMb, frontDescriptors, 0
+	class, serves, memory, descriptors, disk := "frontend", "frontend", m.w.frontMb, frontDescriptors, 0
 	listen := fmt.Sprintf("FrontendAddress = \"%s:%d\"\nReady = \"%s:%d\"\n", m.ip, portFrontend, m.ip, portReady)
 	data := ""
 	if m.core {
@@ -278,7 +279,7 @@
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
-		limit := float64(frontMemoryMb)
+		limit := float64(m.w.frontMb)
 		if m.core {
 			limit = coreMemoryMb
 		}
