--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption. The program of the deploy file and review/build-2.sh have to be built before.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review2/stand2 ] || exit 2
-exec target/review2/stand2 -case reborn-replica -trouble "${TROUBLE:-1}" -record review/6/record.txt
+exec target/review2/stand2 -case late-order -trouble "${TROUBLE:-1}" -record review/6/record.txt
--- a/review/stand2/database.go
+++ b/review/stand2/database.go
@@ -51,6 +51,7 @@
 	databases  []*database
 	primary    *database
 	promotions []promotion
+	slowUntil  time.Time // until then the platform answers no promotion order
 	closed     bool
 }
 
@@ -73,6 +74,7 @@
 	log       []entry
 	paused    bool      // until RESUME, a promotion or its restart
 	deafUntil time.Time // receives nothing until then
+	cutUntil  time.Time // no machine of the system reaches it until then
 	down      bool
 	busy      int // statements that run or wait
 	slots     chan struct{}
@@ -145,7 +147,7 @@
 	if !keepLog {
 		d.log = nil
 	}
-	d.group.rec.add(d.id, "starts again under its id, with log up to %s", d.received())
+	d.group.rec.add(d.id, "starts again at its address, with log up to %s", d.received())
 	return d.start(d.addr)
 }
 
@@ -208,6 +210,7 @@
 func (d *database) heartbeats(born int64) {
 	client := &http.Client{Timeout: time.Second}
 	for {
+		d.awaitPath()
 		d.group.mu.Lock()
 		if d.group.closed || d.down || d.born != born {
 			d.group.mu.Unlock()
@@ -265,18 +268,19 @@
 			return http.StatusConflict
 		}
 		if d != g.primary {
-			time.AfterFunc(dbPromoteTime, func() { g.lead(d, token) })
+			time.AfterFunc(dbPromoteTime, func() { g.lead(d) })
 		}
 		return http.StatusOK
 	}
 	return http.StatusConflict
 }
 
-// lead makes a database the primary of the next term with the log that it has received.
-func (g *group) lead(d *database, token uint64) {
+// lead makes a database the primary of the next term with the log that it has received. An order that was accepted is
+// carried out: later ones for the present primary change nothing.
+func (g *group) lead(d *database) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if d.down || d == g.primary || token < g.token {
+	if d.down || d == g.primary {
 		return
 	}
 	g.term++
@@ -338,6 +342,7 @@
 		delete(d.conns, conn)
 	}()
 	r := bufio.NewReaderSize(conn, 64<<10)
+	d.awaitPath()
 	start, err := readLine(r)
 	if err != nil || down {
 		return
@@ -361,6 +366,7 @@
 		if err != nil || m.word != "QUERY" {
 			return
 		}
+		d.awaitPath()
 		id, text, _ := strings.Cut(m.rest, " ")
 		rows, code := c.run(id, text)
 		out := &bytes.Buffer{}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -31,6 +31,7 @@
 
 var cases = map[string]testCase{
 	"prepared-memory": preparedMemory,
+	"late-order":      lateOrder,
 	"prepared-names":  preparedNames,
 	"reborn-replica":  rebornReplica,
 }
--- a/review/stand2/reborn.go
+++ b/review/stand2/reborn.go
@@ -35,18 +35,7 @@
 	var acked []ackedWrite
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for i := range writers {
-		wg.Go(func() {
-			for !isClosed(stop) {
-				w.writeUntilError(fmt.Sprintf("writer-%d", i), stop, func(id string) {
-					mu.Lock()
-					defer mu.Unlock()
-					acked = append(acked, ackedWrite{id, time.Now()})
-				})
-				time.Sleep(writeInterval)
-			}
-		})
-	}
+	w.write(stop, &wg, &mu, &acked)
 	time.Sleep(quietTime)
 	primary, reborn, behind := w.group.databases[0], w.group.databases[1], w.group.databases[2]
 	if trouble {
@@ -77,6 +66,22 @@
 	return w.group.lost(acked) > 0, nil
 }
 
+// write starts clients that write until stop is closed, and collects the writes that were acknowledged.
+func (w *world) write(stop chan struct{}, wg *sync.WaitGroup, mu *sync.Mutex, acked *[]ackedWrite) {
+	for i := range writers {
+		wg.Go(func() {
+			for !isClosed(stop) {
+				w.writeUntilError(fmt.Sprintf("writer-%d", i), stop, func(id string) {
+					mu.Lock()
+					defer mu.Unlock()
+					*acked = append(*acked, ackedWrite{id, time.Now()})
+				})
+				time.Sleep(writeInterval)
+			}
+		})
+	}
+}
+
 // writeUntilError writes in one session until a write fails or the session ends.
 func (w *world) writeUntilError(who string, stop chan struct{}, acked func(id string)) {
 	s, err := openSession(w.randomFrontend(), primaryName, clientKey)
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -205,6 +205,11 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if w.group.isSlow() {
+			w.group.promoteLate(body.InstanceId, token, r.Header.Get("Citronrun-Lease-Holder"))
+			<-r.Context().Done()
+			return
+		}
 		rw.WriteHeader(w.group.promote(body.InstanceId, token, r.Header.Get("Citronrun-Lease-Holder")))
 	})
 	w.cloud = &http.Server{Handler: mux}
