promotion: order a target that leads by a late order, and count it as a replica

A promotion order without an answer may be carried out after the service has gone on with another primary. The inspection that follows finds the recorded primary as a replica and the target of the late order as the primary.

Cause: the inspection took such a target for the recorded primary's own process, restarted under another name. It was recorded as the successor without an order, although a copy of an order for the recorded primary, which still runs, would be accepted by the platform and would replace it. While another order was pending, a third target could be chosen: neither the recorded primary nor the leading target counted as a replica that may have the latest commit.

Change: a leading target counts as a replica as long as the recorded primary is a member. If that one answers as a replica, the leading target is ordered, and the order is recorded as contested.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -22,7 +22,7 @@
 	// Departed are the replicas that have left, or are lost, and may have had acknowledged commits that no member has
 	// except the primary. They get no work.
 	Departed map[string]GroupMember `cbor:"7,keyasint,omitempty"`
-	// Contested is set while orders for different targets are pending.
+	// Contested is set while orders for other targets than Candidate may be carried out as well.
 	Contested bool `cbor:"8,keyasint,omitempty"`
 }
 
@@ -64,6 +64,8 @@
 	Target     string `cbor:"4,keyasint"` // the candidate
 
 	Received position.Position `cbor:"5,keyasint,omitzero"` // log position of the candidate
+	// Contested means that orders for other targets may be carried out, although none of them is pending.
+	Contested bool `cbor:"6,keyasint,omitempty"`
 }
 
 // recordPromotion records the primary that resulted from a promotion order, the first primary of a deployed service, or
@@ -228,7 +230,7 @@
 	if cmd.LeaderTerm != m.leaderTerm || cmd.Token != group.Token+1 {
 		return errStale
 	}
-	group.Contested = group.Contested || group.Candidate != "" && group.Candidate != cmd.Target
+	group.Contested = group.Contested || cmd.Contested || group.Candidate != "" && group.Candidate != cmd.Target
 	group.Token = cmd.Token
 	group.Candidate, group.CandidateReceived = cmd.Target, cmd.Received
 	store()
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -276,7 +276,9 @@
 // target is pending: until the platform has seen the new token, that one may be carried out.
 func (s *Server) orderPromotion(ctx context.Context, leader *leaderState, service string, record Group, choice promotion.Pending) (refused bool) {
 	token := record.Token + 1
-	c := command{OrderPromotion: &orderPromotion{LeaderTerm: leader.term, Service: service, Token: token, Target: choice.Target, Received: choice.Received}}
+	c := command{OrderPromotion: &orderPromotion{
+		LeaderTerm: leader.term, Service: service, Token: token, Target: choice.Target, Received: choice.Received, Contested: choice.Contested,
+	}}
 	if err := s.propose(ctx, c); err != nil {
 		_ = level.Warn(s.Logger).Log("msg", "promotion not ordered", "service", service, "target", choice.Target, "token", token, "err", err)
 		return true
--- a/internal/promotion/choose.go
+++ b/internal/promotion/choose.go
@@ -1,6 +1,8 @@
 package promotion
 
 import (
+	"slices"
+
 	"github.com/citronrun/citronrun/internal/position"
 )
 
@@ -19,13 +21,16 @@
 type Pending struct {
 	Target   string
 	Received position.Position // the log position of Target when it was chosen
+	// Contested means that orders for other targets may be carried out, although none of them is pending.
+	Contested bool
 }
 
 // Choose returns the target to promote. Each acknowledged commit is at the primary and at syncReplicas or more
 // replicas, of which some may have departed since. Of n replicas, any n-syncReplicas+1 therefore include one that has
 // received it, and Choose returns false until that many are paused and have answered. With syncReplicas 0, a commit may be at the primary only
-// and can be lost; then one paused replica is enough. Targets that did not answer count as replicas; the
-// primary does not, nor does a target that reports that it is the primary, in place of the recorded one.
+// and can be lost; then one paused replica is enough. Targets that did not answer count as replicas, and so does a target
+// that leads by an order that was carried out late. The primary does not, nor does a target that leads in place of a
+// recorded primary without a report: it has restarted under that name.
 //
 // A target that is leaving is chosen only if no other replica has received as much and the primary, from
 // which the others could still receive the rest, doesn't answer.
@@ -34,6 +39,7 @@
 // acknowledged since, and an earlier order that is carried out late changes nothing if all orders name the same target.
 func Choose(reports []Report, primary string, syncReplicas, departed int, pending Pending) (target string, ok bool) {
 	replicas, paused, primaryAnswers := departed, 0, false
+	primaryIsGone := !slices.ContainsFunc(reports, func(r Report) bool { return r.Target == primary })
 	var best, ordered *Report
 	for i := range reports {
 		r := &reports[i]
@@ -41,7 +47,7 @@
 			primaryAnswers = r.Answered && r.Primary
 			continue
 		}
-		if r.Answered && r.Primary {
+		if r.Answered && r.Primary && primaryIsGone {
 			continue
 		}
 		replicas++
--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -31,6 +31,10 @@
 		return Decision{StillPrimary: true}
 	}
 	acting := in.actingPrimary()
+	if acting != nil && in.report(in.Primary) != nil {
+		// It leads by an order. The recorded primary still runs, so that an order for that one may be carried out too.
+		return Decision{Order: Pending{Target: acting.Target, Received: acting.Received, Contested: true}}
+	}
 	if acting != nil && in.Pending.Target == "" {
 		return Decision{Successor: acting.Target}
 	}
@@ -53,8 +57,8 @@
 }
 
 // actingPrimary returns the report of a target that leads the service although it isn't the recorded primary, or nil. This
-// comes about if the primary's process has restarted under another name before a promotion was ordered. The target must
-// have the log of the recorded primary, so no other target may be ahead of it.
+// comes about if the primary's process has restarted under another name before a promotion was ordered, or if an order was
+// carried out late. The target must have the log of the recorded primary, so no other target may be ahead of it.
 func (in *Inspection) actingPrimary() *Report {
 	var acting *Report
 	for i := range in.Reports {
--- a/internal/promotion/decide_test.go
+++ b/internal/promotion/decide_test.go
@@ -120,3 +120,55 @@
 		}
 	})
 }
+
+// lateLeader returns an inspection of a service whose replica a leads, by an order that was carried out after p was recorded as
+// the primary or was ordered to stay it.
+func lateLeader() *Inspection {
+	return &Inspection{
+		Primary: "p", SyncReplicas: 1,
+		Reports: []Report{
+			{Target: "p", Answered: true, Term: 2, Received: positionAt(9)},
+			{Target: "a", Answered: true, Primary: true, Term: 2, Received: positionAt(9)},
+			{Target: "b", Answered: true, Paused: true, Term: 2, Received: positionAt(8)},
+		},
+	}
+}
+
+// Guards against a target that is recorded as the primary without an order of its own, although an earlier order for the
+// recorded primary, which runs, may still be carried out: the platform has to refuse that one first.
+func TestLateLeaderIsOrdered(t *testing.T) {
+	is := is.New(t)
+	in := lateLeader()
+	is.Equal(in.Decide(), Decision{Order: Pending{Target: "a", Received: positionAt(9), Contested: true}})
+	in.Pending = Pending{Target: "p", Received: positionAt(9)}
+	is.Equal(in.Decide().Order.Target, "a")
+	in.Reports[0].Received = positionAt(10) // not rolled back yet
+	is.Equal(in.Decide(), Decision{})
+}
+
+// Guards against the promotion of a replica that lacks an acknowledged commit, because neither the recorded primary nor the
+// target that leads by a late order counts as a replica that may have it.
+func TestLateLeaderKeepsAcknowledgedCommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const commit = 10
+		in := lateLeader()
+		received := map[string]uint64{"a": commit}
+		for i := range in.Reports {
+			r := &in.Reports[i]
+			r.Answered = rapid.Bool().Draw(t, "answers")
+			r.Primary = r.Primary && r.Answered
+			r.Received = positionAt(rapid.Uint64Range(0, commit+2).Draw(t, "received"))
+			if r.Target == "a" { // it was chosen since it had all acknowledged commits
+				r.Received = positionAt(commit + rapid.Uint64Range(0, 2).Draw(t, "ahead"))
+			}
+			received[r.Target] = r.Received.Offset
+		}
+		if rapid.Bool().Draw(t, "order pending") {
+			in.Pending = Pending{Target: rapid.SampledFrom(in.Reports).Draw(t, "ordered").Target, Received: positionAt(commit)}
+		}
+		d := in.Decide()
+		if target := d.Successor + d.Order.Target; target != "" && received[target] < commit {
+			t.Fatalf("%s leads next with offset %d, but offset %d was acknowledged", target, received[target], commit)
+		}
+	})
+}
