promotion: serve no primary until earlier accepted orders are carried out

Cause: an order for a replica got no answer. The primary came back, and an order for it with a higher fencing token was to end the first one. The platform's answer to that order was taken for the end of all earlier ones, and the primary served 30 ms later. The answer says less: no lower token is accepted any more. An order that was accepted just before takes effect some hundred milliseconds later, and the replica then leads without what was acknowledged in between.

Change: once the platform has accepted an order while others for different targets may be carried out (the record is contested), the promotion waits for supersedeTime, 2 s, in the new state "superseding" before it asks which target leads. A target that is a replica then stays one, so that it isn't asked for another 2 s, and the target that does lead is kept. A promotion whose orders all name the same target isn't contested and doesn't wait.

TestNoPrimaryServesUntilEarlierOrdersAreCarriedOut, TestAcceptedOrderSupersedesOthersAfterTheyAreCarriedOut and TestLateLeaderStays fail without the change.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -38,7 +38,7 @@
 }
 
 func (g Group) promotionRecord() promotion.Record {
-	return promotion.Record{Primary: g.Primary, Candidate: g.Candidate, Token: g.Token}
+	return promotion.Record{Primary: g.Primary, Candidate: g.Candidate, Token: g.Token, Contested: g.Contested}
 }
 
 // registerTarget adds a target to a deployed service, or updates its entry.
--- a/internal/control/inspect.go
+++ b/internal/control/inspect.go
@@ -14,7 +14,7 @@
 // left alone, and count as not answering, if the others suffice for the choice of one of them.
 func (s *Server) inspect(ctx context.Context, leader *leaderState, service string, record Group, leaving map[string]bool, commitsStalled bool) promotion.Decision {
 	inspection := promotion.Inspection{
-		Primary: record.Primary, Pending: promotion.Pending{Target: record.Candidate, Received: record.CandidateReceived},
+		Primary: record.Primary, Pending: promotion.Pending{Target: record.Candidate, Received: record.CandidateReceived, Contested: record.Contested},
 		SyncReplicas: s.syncReplicas(service), Departed: len(record.Departed), CommitsStalled: commitsStalled,
 	}
 	var first, inEmptied []string
--- a/internal/control/late_orders_test.go
+++ b/internal/control/late_orders_test.go
@@ -68,3 +68,29 @@
 	is.Equal(apply(t, s.Machine, 102, command{RecordPromotion: &recordPromotion{LeaderTerm: 5, Service: "s", Token: 2, Target: "a"}}), nil)
 	is.True(!s.Machine.Group("s").Contested)
 }
+
+// Guards against commits that are acknowledged and then lost, because a primary serves while the platform still carries out an
+// earlier order for another target: it accepted that one just before the order that keeps the primary, and answered neither.
+func TestNoPrimaryServesUntilEarlierOrdersAreCarriedOut(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	targets, s, leader := newOrderLog(t, clk)
+	targets.unreachable["a"], targets.behind["b"] = true, true
+	for _, member := range s.Log.(testMember).consensus.members {
+		is.Equal(apply(t, member.Machine, 100, command{OrderPromotion: &orderPromotion{LeaderTerm: 5, Service: "s", Token: 1, Target: "a"}}), nil)
+	}
+	serving := func() bool { return leader.groups["s"].promotion.Serving() }
+	s.step(leader)
+	is.Equal(targets.accepted, []string{"p"})
+	clk.Advance(time.Second) // no promotion takes longer
+	s.step(leader)
+	is.True(!serving())
+	targets.primary, targets.unreachable["a"] = "a", false
+	for range 8 {
+		clk.Advance(time.Second)
+		s.step(leader)
+		is.True(!serving() || s.Machine.Group("s").Primary == "a")
+	}
+	is.True(serving())
+	is.Equal(targets.accepted, []string{"p", "a"})
+}
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -215,7 +215,7 @@
 	case promotion.Confirm:
 		choice := group.promotion.OrderedTarget()
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
-			ok := s.confirmPrimary(ctx, targetRef(choice))
+			ok := s.confirmPrimary(ctx, targetRef(choice), record.Contested)
 			return func() { group.promotion.RecordConfirmation(ok) }
 		})
 	case promotion.RecordPrimary:
@@ -348,8 +348,9 @@
 var errReplicaRole = errors.New("target reports the replica role")
 
 // confirmPrimary polls a promoted target until it reports itself as the primary, for at most
-// confirmPrimaryTimeout.
-func (s *Server) confirmPrimary(ctx context.Context, t TargetRef) bool {
+// confirmPrimaryTimeout. superseded means that all orders have been carried out that will be: then a target that is a
+// replica stays one.
+func (s *Server) confirmPrimary(ctx context.Context, t TargetRef, superseded bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmPrimaryTimeout)
 	defer cancel()
 	interval := confirmRetryInterval
@@ -367,6 +368,9 @@
 		if lastErr = err; err == nil {
 			lastErr = errReplicaRole
 		}
+		if superseded && err == nil {
+			break
+		}
 		timer := time.NewTimer(interval)
 		select {
 		case <-timer.C:
--- a/internal/promotion/choose.go
+++ b/internal/promotion/choose.go
@@ -19,10 +19,9 @@
 
 // Pending is an order without a recorded outcome. The zero value means that there is none.
 type Pending struct {
-	Target   string
-	Received position.Position // the log position of Target when it was chosen
-	// Contested means that orders for other targets may be carried out, although none of them is pending.
-	Contested bool
+	Target    string
+	Received  position.Position // the log position of Target when it was chosen
+	Contested bool              // orders for other targets may be carried out as well
 }
 
 // Choose returns the target to promote. Each acknowledged commit is at the primary and at syncReplicas or more
--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -31,8 +31,8 @@
 		return Decision{StillPrimary: true}
 	}
 	acting := in.actingPrimary()
-	if acting != nil && in.report(in.Primary) != nil {
-		// It leads by an order. The recorded primary still runs, so that an order for that one may be carried out too.
+	if acting != nil && (in.Pending.Contested || in.report(in.Primary) != nil) {
+		// It leads by an order. Others may be carried out too, such as one for the recorded primary, which still runs.
 		return Decision{Order: Pending{Target: acting.Target, Received: acting.Received, Contested: true}}
 	}
 	if acting != nil && in.Pending.Target == "" {
--- a/internal/promotion/decide_test.go
+++ b/internal/promotion/decide_test.go
@@ -172,3 +172,13 @@
 		}
 	})
 }
+
+// Guards against a further promotion, with another gap in service, although the target that leads by a late order can stay: the
+// recorded primary restarted as p2, which was ordered to lead before that.
+func TestLateLeaderStays(t *testing.T) {
+	is := is.New(t)
+	in := lateLeader()
+	in.Reports[0].Target, in.Reports[0].Paused = "p2", true
+	in.Pending = Pending{Target: "p2", Received: positionAt(9), Contested: true}
+	is.Equal(in.Decide(), Decision{Order: Pending{Target: "a", Received: positionAt(9), Contested: true}})
+}
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -11,7 +11,9 @@
 //     because the primary right that goes with the target's lease has expired or was returned.
 //   - The fencing token and the target of an order are recorded in the replicated log before the order is
 //     sent. No primary is served while a recorded order has no recorded outcome, because an order without
-//     an answer may still be carried out later. The next order names the same target if that is possible.
+//     an answer may still be carried out later. The next order names the same target if that is possible. If it
+//     doesn't, the outcome is only known supersedeTime after the platform has accepted it: until then an earlier order
+//     that was accepted before may be carried out.
 //   - The target is chosen by the positions of enough paused replicas that each acknowledged commit is at
 //     one of them.
 package promotion
@@ -26,6 +28,9 @@
 const (
 	// retryInterval is the delay before an inspection or a promotion order is repeated.
 	retryInterval = 200 * time.Millisecond
+	// supersedeTime is longer than any promotion takes once the platform has accepted its order: some hundred milliseconds,
+	// and up to a second in known deployments.
+	supersedeTime = 2 * time.Second
 	// recordTimeout is how long to wait for a proposal to change the record.
 	recordTimeout = 2 * time.Second
 	// Cooldown is the time after a promotion during which a silent primary or stalled commits do not cause
@@ -38,6 +43,7 @@
 	Primary   string // empty if there is none yet
 	Candidate string // target of an order without a recorded outcome; empty if none is pending
 	Token     uint64 // fencing token of the last order
+	Contested bool   // orders for other targets than Candidate may be carried out as well
 }
 
 // Input is the state of a service as the control leader knows it at Now.
@@ -117,8 +123,8 @@
 	}
 }
 
-// RecordOrder passes the result of Order to the machine. refused means that the order will not be carried out.
-// An order that was sent but not answered is not refused.
+// RecordOrder passes the result of Order to the machine. refused means that the order will not be carried out, or
+// was not accepted although the record is contested. Otherwise an order that was sent but not answered is not refused.
 func (m *Machine) RecordOrder(refused bool) { m.setResult(!refused, "ordered", "refused") }
 
 // RecordConfirmation passes the result of Confirm to the machine: whether the promoted target is the primary.
@@ -151,6 +157,12 @@
 		return !in.HolderReportsSilence
 	case "primary_free":
 		return in.PrimaryFree
+	case "superseded":
+		return in.Now.Sub(m.stateSince) >= supersedeTime
+	case "ordered":
+		return m.result == event && !in.Record.Contested
+	case "ordered_contested":
+		return m.result == "ordered" && in.Record.Contested
 	case "retry_due":
 		return in.Now.Sub(m.stateSince) >= m.retryDelay()
 	default:
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -178,3 +178,33 @@
 	is.Equal(d.step(0), AvoidHolder)
 	is.True(d.machine.Serving())
 }
+
+// Guards against a primary that is served while an earlier order for another target, which the platform accepted just before
+// it accepted the one for this primary, is still being carried out: the other target then leads without the latest commits.
+func TestAcceptedOrderSupersedesOthersAfterTheyAreCarriedOut(t *testing.T) {
+	is := is.New(t)
+	d := &driver{machine: New(), input: Input{Now: time.Unix(1000, 0), Record: Record{Primary: "p", Candidate: "r", Token: 1}}}
+	is.Equal(d.step(0), Inspect)
+	d.machine.RecordInspection(Decision{Order: Pending{Target: "p"}}) // r doesn't answer, p still leads
+	is.Equal(d.step(0), Order)
+	d.input.Record = Record{Primary: "p", Candidate: "p", Token: 2, Contested: true}
+	d.machine.RecordOrder(false)
+	is.Equal(d.step(0), None)
+	is.Equal(d.step(supersedeTime-time.Millisecond), None)
+	is.True(!d.machine.Serving())
+	is.Equal(d.step(time.Millisecond), Confirm)
+	d.machine.RecordConfirmation(false) // r leads by now
+	is.Equal(d.step(0), Inspect)
+}
+
+// Guards against an ordinary promotion that waits as long as a contested one.
+func TestUncontestedOrderIsConfirmedAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := &driver{machine: New(), input: Input{Now: time.Unix(1000, 0), Record: Record{Primary: "p", Candidate: "r", Token: 1}}}
+	is.Equal(d.step(0), Inspect)
+	d.machine.RecordInspection(Decision{Order: Pending{Target: "r"}})
+	is.Equal(d.step(0), Order)
+	d.input.Record.Token = 2
+	d.machine.RecordOrder(false)
+	is.Equal(d.step(0), Confirm)
+}
