promotion: don't wait for an order that was refused

Cause: a pending order counts until its outcome is recorded, also if the platform refused it or was never reached. The next order, for another target, was therefore contested, and would wait for supersedeTime although nothing is on its way.

Change: the leader remembers the token of an order that was refused while no other one was pending. The order that follows says so in the log, and isn't contested by it.

Evidence: TestRefusedOrderIsNotAwaited, whose second order was contested before.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -66,6 +66,8 @@
 	Received position.Position `cbor:"5,keyasint,omitzero"` // log position of the candidate
 	// Contested means that orders for other targets may be carried out, although none of them is pending.
 	Contested bool `cbor:"6,keyasint,omitempty"`
+	// PreviousRefused means that the pending order, if there is one, was refused: it will not be carried out.
+	PreviousRefused bool `cbor:"7,keyasint,omitempty"`
 }
 
 // recordPromotion records the primary that resulted from a promotion order, the first primary of a deployed service, or
@@ -230,7 +232,8 @@
 	if cmd.LeaderTerm != m.leaderTerm || cmd.Token != group.Token+1 {
 		return errStale
 	}
-	group.Contested = group.Contested || cmd.Contested || group.Candidate != "" && group.Candidate != cmd.Target
+	replacesOther := group.Candidate != "" && group.Candidate != cmd.Target && !cmd.PreviousRefused
+	group.Contested = group.Contested || cmd.Contested || replacesOther
 	group.Token = cmd.Token
 	group.Candidate, group.CandidateReceived = cmd.Target, cmd.Received
 	store()
--- a/internal/control/late_orders_test.go
+++ b/internal/control/late_orders_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/promotion"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -94,3 +95,24 @@
 	is.True(serving())
 	is.Equal(targets.accepted, []string{"p", "a"})
 }
+
+// Guards against a promotion that waits for an order that was refused, and so will not be carried out, and against one that
+// doesn't wait for an earlier order, without an answer, because a later one was refused.
+func TestRefusedOrderIsNotAwaited(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	targets, s, leader := newOrderLog(t, clk)
+	order := func(target string) Group {
+		s.orderPromotion(t.Context(), leader, "s", s.Machine.Group("s"), promotion.Pending{Target: target})
+		return s.Machine.Group("s")
+	}
+	targets.refused = true
+	is.True(!order("a").Contested)
+	is.True(!order("b").Contested)
+	targets.refused, targets.unanswered = false, true
+	is.True(!order("a").Contested)
+	targets.refused, targets.unanswered = true, false
+	is.True(!order("a").Contested)
+	is.True(order("b").Contested)
+	is.Equal(targets.accepted, nil)
+}
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronrun/citronrun/internal/clock"
 	"github.com/citronrun/citronrun/internal/position"
+	"github.com/citronrun/citronrun/internal/verdict"
 	"github.com/citronrun/citronrun/internal/wire"
 )
 
@@ -23,6 +24,7 @@
 	behind      map[string]bool // replicas that have received less than the primary
 	resumes     int
 	unanswered  bool // orders get no answer and have no effect
+	refused     bool // orders are refused
 }
 
 func (c *groupControl) State(_ context.Context, t TargetRef) (TargetState, error) {
@@ -68,6 +70,9 @@
 	if c.unanswered {
 		return errOutcomeUnknown
 	}
+	if c.refused {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "refused")
+	}
 	c.primary = o.Target
 	clear(c.paused)
 	return nil
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -276,8 +276,10 @@
 // target is pending: until the platform has seen the new token, that one may be carried out.
 func (s *Server) orderPromotion(ctx context.Context, leader *leaderState, service string, record Group, choice promotion.Pending) (refused bool) {
 	token := record.Token + 1
+	nonePending := record.Candidate == "" || s.lastOrderRefused(leader, service, record.Token)
 	c := command{OrderPromotion: &orderPromotion{
-		LeaderTerm: leader.term, Service: service, Token: token, Target: choice.Target, Received: choice.Received, Contested: choice.Contested,
+		LeaderTerm: leader.term, Service: service, Token: token, Target: choice.Target, Received: choice.Received,
+		Contested: choice.Contested, PreviousRefused: nonePending,
 	}}
 	if err := s.propose(ctx, c); err != nil {
 		_ = level.Warn(s.Logger).Log("msg", "promotion not ordered", "service", service, "target", choice.Target, "token", token, "err", err)
@@ -288,9 +290,21 @@
 	attempts, err := s.sendOrder(ctx, order, TargetRef{Service: service, Target: choice.Target, Addr: record.Members[choice.Target].Addr})
 	countPromotionOrder(err)
 	_ = level.Info(s.Logger).Log("msg", "promotion ordered", "service", service, "target", choice.Target, "token", token, "attempts", attempts, "err", err)
+	if verdict.Of(err) == verdict.NotRun && nonePending {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		leader.groupState(s.Clock.Now(), service).refusedToken = token
+	}
 	return err != nil && (verdict.Of(err) == verdict.NotRun || s.Machine.Group(service).Contested)
 }
 
+// lastOrderRefused reports whether the order with a token was refused, while no other one was pending.
+func (s *Server) lastOrderRefused(leader *leaderState, service string, token uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return token != 0 && leader.groupState(s.Clock.Now(), service).refusedToken == token
+}
+
 // sendOrder sends a promotion order until it is answered or its target is the primary, orderAttempts times at most. An order
 // without an answer may be lost or carried out late. It is repeated unchanged: the platform carries out equal orders to the
 // same effect as one, and refuses all of them once it has seen a higher token. The error has the verdict NotRun only if no
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -65,6 +65,7 @@
 	settleAt      time.Time               // when that is tried again
 	emptiedPaused bool                    // replicas in emptied places may be paused
 	choice        promotion.Pending       // of the last inspection
+	refusedToken  uint64                  // fencing token of the last order that was refused, while no other one was pending
 	health        map[string]targetHealth // by target
 }
 
