control: outlast a PAUSE or RESUME that a target carries out late

Cause: an unanswered PAUSE counted as not carried out, and an unanswered RESUME as tried again soon enough. A target may have received either and carry it out seconds later. A late PAUSE leaves a replica without new commits until the next promotion: nothing resumed it again once all replicas had answered a RESUME. A late RESUME lets a replica that was released acknowledge commits, although promotions no longer count it.

A new leader that finds the record takes the time from its election.

--- a/internal/control/inspect.go
+++ b/internal/control/inspect.go
@@ -48,9 +48,7 @@
 
 // queryTargets pauses the replicas among some targets of a service, and queries the state of all of them.
 func (s *Server) queryTargets(ctx context.Context, leader *leaderState, service string, record Group, leaving map[string]bool, targets []string) []promotion.Report {
-	pause := func(ctx context.Context, t TargetRef) (TargetState, error) {
-		return s.TargetControl.Pause(ctx, t, func(ctx context.Context) error { return s.confirmLeadership(ctx, leader) })
-	}
+	pause := func(ctx context.Context, t TargetRef) (TargetState, error) { return s.pause(ctx, leader, t) }
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	reports := make([]promotion.Report, 0, len(record.Members))
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -22,6 +22,7 @@
 	unreachable map[string]bool
 	paused      map[string]bool
 	behind      map[string]bool // replicas that have received less than the primary
+	silent      map[string]bool // replicas that don't answer PAUSE and RESUME, and don't carry them out yet
 	resumes     int
 	unanswered  bool // orders get no answer and have no effect
 	refused     bool // orders are refused
@@ -48,6 +49,9 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if c.silent[t.Target] {
+			return TargetState{}, errOutcomeUnknown
+		}
 		c.paused[t.Target] = true
 	}
 	return state, err
@@ -58,10 +62,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.resumes++
-	if err == nil {
+	switch {
+	case err != nil:
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "unreachable")
+	case c.silent[t.Target]:
+		return errOutcomeUnknown
+	default:
 		delete(c.paused, t.Target)
+		return nil
 	}
-	return err
 }
 
 func (c *groupControl) Promote(_ context.Context, o PromotionOrder) error {
@@ -169,3 +178,41 @@
 	inspect()
 	is.True(targets.primary != "p")
 }
+
+// Guards against a replica that stays paused for good, because it carries out a PAUSE late that it didn't answer, after it was
+// resumed.
+func TestReplicasAreResumedAfterLatePause(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	targets := &groupControl{primary: "p", unreachable: map[string]bool{}, paused: map[string]bool{}, silent: map[string]bool{"b": true}}
+	s, leader := newGroupServer(t, clk, targets)
+	is.NoErr(s.recordPaused(t.Context(), leader, "s", true))
+	s.inspect(t.Context(), leader, "s", s.Machine.Group("s"), nil, false)
+	targets.silent["b"] = false
+	s.step(leader)
+	is.Equal(len(targets.paused), 0)
+	for range lateCommandTime/resumeRetryInterval + 1 {
+		is.True(s.Machine.Group("s").Paused)
+		targets.paused["b"] = true
+		clk.Advance(resumeRetryInterval)
+		s.step(leader)
+		is.Equal(len(targets.paused), 0)
+	}
+	is.True(!s.Machine.Group("s").Paused)
+}
+
+// Guards against a new leader that relies on its own pauses only: those of its predecessor may be carried out late.
+func TestPausesOfEarlierLeaderAreInherited(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	targets := &groupControl{primary: "p", unreachable: map[string]bool{}, paused: map[string]bool{}}
+	s, leader := newGroupServer(t, clk, targets)
+	is.NoErr(s.recordPaused(t.Context(), leader, "s", true))
+	leader = takeOver(s)
+	leader.inheritPauses(clk.Now(), s.Machine.Groups())
+	s.step(leader)
+	is.True(s.Machine.Group("s").Paused)
+	clk.Advance(lateCommandTime)
+	s.step(leader)
+	is.True(!s.Machine.Group("s").Paused)
+}
--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -55,7 +55,7 @@
 	// its state after that point. On a primary it only returns the state. Directly before the replica is paused it calls
 	// confirm, whose error it returns: a later leader may have resumed the replica.
 	Pause(ctx context.Context, t TargetRef, confirm func(context.Context) error) (TargetState, error)
-	// Resume ends a pause.
+	// Resume ends a pause. An error with the verdict NotRun means that the target will not carry it out.
 	Resume(ctx context.Context, t TargetRef) error
 	// Promote orders a promotion. An error with verdict NotRun means that the order will never be
 	// carried out. After any other error it may have been carried out, or may be later.
@@ -200,8 +200,8 @@
 		group.resumeRetryAt = now.Add(resumeRetryInterval)
 		emptiedPaused := group.emptiedPaused
 		s.runPromotionAction(leader, service, group, func(ctx context.Context) func() {
-			resumed := s.resumeReplicas(ctx, service, record, emptiedPaused)
-			if resumed && steady && record.Paused {
+			resumed := s.resumeReplicas(ctx, leader, service, record, emptiedPaused)
+			if resumed && steady && record.Paused && !s.lateCommandsExpected(leader, service) {
 				_ = s.recordPaused(ctx, leader, service, false) // tried again after resumeRetryInterval
 			}
 			return func() { group.emptiedPaused = group.emptiedPaused && !resumed }
--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -46,6 +46,9 @@
 	if group.promotion.State() != "steady" || group.actionRunning || record.Paused || record.Candidate != "" || now.Before(group.releaseAt) {
 		return
 	}
+	if now.Before(group.lateUntil) {
+		return // a late RESUME would let the released replica acknowledge commits again
+	}
 	if _, ok := record.Members[record.Primary]; !ok {
 		return
 	}
@@ -79,7 +82,7 @@
 	if err != nil || before.Primary || !s.othersHave(ctx, service, record, target, before.Received) {
 		return
 	}
-	after, err := s.TargetControl.Pause(ctx, ref, func(ctx context.Context) error { return s.confirmLeadership(ctx, leader) })
+	after, err := s.pause(ctx, leader, ref)
 	if err == nil && !after.Primary && s.othersHave(ctx, service, record, target, after.Received) && propose(ctx, true) == nil {
 		_ = level.Info(s.Logger).Log("msg", "leaving replica released", "service", service, "target", target, "received", after.Received)
 		return
@@ -87,7 +90,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, releaseTimeout)
 	defer cancel()
 	if err = propose(ctx, false); err == nil {
-		err = s.TargetControl.Resume(ctx, ref)
+		err = s.resume(ctx, leader, ref)
 	}
 	if err != nil {
 		_ = level.Info(s.Logger).Log("msg", "replica not resumed", "service", service, "target", target, "err", err)
--- a/internal/control/release_test.go
+++ b/internal/control/release_test.go
@@ -113,3 +113,18 @@
 	is.True(!r.tryRelease())
 	is.Equal(len(r.targets.paused), 0)
 }
+
+// Guards against a released replica that carries out a RESUME late that it didn't answer: it would acknowledge commits, and not
+// count in promotions.
+func TestNoReleaseBeforeLateResume(t *testing.T) {
+	is := is.New(t)
+	r := newReleaseTest(t)
+	r.clk.Advance(r.DrainTime)
+	r.targets.silent = map[string]bool{"l": true}
+	is.True(!r.resumeReplicas(t.Context(), r.leader, "s", r.Machine.Group("s"), false))
+	r.targets.silent["l"] = false
+	is.True(!r.tryRelease())
+	is.Equal(len(r.targets.paused), 0)
+	r.clk.Advance(lateCommandTime)
+	is.True(r.tryRelease())
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -267,6 +267,7 @@
 	_ = level.Info(s.Logger).Log("msg", "leadership taken over", "term", leader.term)
 	takeovers.Inc()
 	leader.inheritLeaving(s.Machine.Groups(), s.DrainTime)
+	leader.inheritPauses(s.Clock.Now(), s.Machine.Groups())
 	leader.ready = true
 	leader.readyAt = s.Clock.Now()
 	holders := s.Machine.TargetHolders()
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -64,6 +64,7 @@
 	settling      bool                    // departed targets are being settled in the background
 	settleAt      time.Time               // when that is tried again
 	emptiedPaused bool                    // replicas in emptied places may be paused
+	lateUntil     time.Time               // a PAUSE or RESUME without an answer may be carried out until then
 	choice        promotion.Pending       // of the last inspection
 	refusedToken  uint64                  // fencing token of the last order that was refused, while no other one was pending
 	health        map[string]targetHealth // by target
