control: count the log of a replica that has started again without it

Cause: a target that starts again under its name holds nothing of before. Its registration replaced that of the earlier process, and its answer to an inspection was taken for that of the process which had acknowledged commits. With one such answer and that of a replica that was behind, all seemed to have answered.

Change: a registration with a later start time records the target in Group.Restarted, which counts in promotions like a departed target, until enough replicas have received all that the primary has. A replica without any log, while another target has one, doesn't count as answering: its process may not have registered yet. A primary comes back with its log, and isn't recorded.

TestReplicaRestartedWithoutLogCounts and TestReplicaWithoutLogDoesNotAnswer fail without it.

Not covered: a replica that has started again, has received a part of the log, and answers an inspection before its first registration has arrived.

--- a/internal/control/departed.go
+++ b/internal/control/departed.go
@@ -20,6 +20,8 @@
 	Service    string   `cbor:"2,keyasint"`
 	Primary    string   `cbor:"3,keyasint"` // must be the recorded primary, without a pending order
 	Targets    []string `cbor:"4,keyasint"`
+	// Restarted are targets whose earlier processes no longer count, by the start time of their present process.
+	Restarted map[string]uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 func (m *Machine) settleDeparted(cmd *settleDeparted) error {
@@ -30,6 +32,11 @@
 	for _, target := range cmd.Targets {
 		delete(group.Departed, target)
 	}
+	for target, startedMs := range cmd.Restarted {
+		if group.Restarted[target] == startedMs { // otherwise it has started again since, and was counted as having the log
+			delete(group.Restarted, target)
+		}
+	}
 	store()
 	return nil
 }
@@ -40,7 +47,8 @@
 	group, store := m.editGroup(cmd.Service)
 	_, isMember := group.Members[cmd.Target]
 	_, hasDeparted := group.Departed[cmd.Target]
-	if !isMember && !hasDeparted {
+	_, hasRestarted := group.Restarted[cmd.Target]
+	if !isMember && !hasDeparted && !hasRestarted {
 		return errNotTargetOfService
 	}
 	if cmd.Target == group.Primary {
@@ -48,6 +56,7 @@
 	}
 	delete(group.Members, cmd.Target)
 	delete(group.Departed, cmd.Target)
+	delete(group.Restarted, cmd.Target)
 	delete(m.targetHolders, cmd.Target)
 	store()
 	return nil
@@ -57,7 +66,7 @@
 func (s *Server) stepDeparted(leader *leaderState, now time.Time, service string) {
 	record := s.Machine.Group(service)
 	group := leader.groupState(now, service)
-	if len(record.Departed) == 0 || group.promotion.State() != "steady" || group.settling || now.Before(group.settleAt) {
+	if record.lostLogs() == 0 || group.promotion.State() != "steady" || group.settling || now.Before(group.settleAt) {
 		return
 	}
 	if primary, ok := record.Members[record.Primary]; !ok || s.emptied(primary) {
@@ -72,13 +81,13 @@
 	})
 }
 
-// settle removes departed targets from the record if they no longer run, and if enough replicas to acknowledge a commit have
-// received as much as the primary has after that: all that the departed targets can have had.
+// settle removes departed targets from the record if they no longer run, and earlier processes of restarted ones, if enough
+// replicas to acknowledge a commit have received as much as the primary has after that: all that those can have had.
 func (s *Server) settle(leader *leaderState, service string, record Group) {
 	ctx, cancel := context.WithTimeout(s.ctx, promotionActionTimeout)
 	defer cancel()
 	gone := s.departedAndGone(ctx, service, record)
-	if len(gone) == 0 {
+	if len(gone) == 0 && len(record.Restarted) == 0 {
 		return
 	}
 	primary, err := s.stateOf(ctx, service, record, record.Primary)
@@ -88,9 +97,9 @@
 	if s.replicasWith(ctx, service, record, "", primary.Received) < s.syncReplicas(service) {
 		return
 	}
-	c := &settleDeparted{LeaderTerm: leader.term, Service: service, Primary: record.Primary, Targets: gone}
+	c := &settleDeparted{LeaderTerm: leader.term, Service: service, Primary: record.Primary, Targets: gone, Restarted: record.Restarted}
 	err = s.propose(ctx, command{SettleDeparted: c})
-	_ = level.Info(s.Logger).Log("msg", "departed targets settled", "service", service, "targets", len(gone), "received", primary.Received, "err", err)
+	_ = level.Info(s.Logger).Log("msg", "departed targets settled", "service", service, "targets", len(gone), "restarted", len(record.Restarted), "received", primary.Received, "err", err)
 }
 
 func (s *Server) stateOf(ctx context.Context, service string, record Group, target string) (TargetState, error) {
--- a/internal/control/departed_test.go
+++ b/internal/control/departed_test.go
@@ -131,3 +131,56 @@
 	is.Equal(apply(t, m, 15, command{SettleDeparted: settle}), nil)
 	is.Equal(len(m.Group("s").Departed), 0)
 }
+
+// Guards against acknowledged commits that are lost, because a replica that has started again under its name, without its log,
+// counts as the process that had received them.
+func TestReplicaRestartedWithoutLogCounts(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewFake(time.Unix(1000, 0))
+	targets := &groupControl{primary: "p", unreachable: map[string]bool{"p": true}, behind: map[string]bool{"b": true}, paused: map[string]bool{}}
+	s, leader := newGroupServer(t, clk, targets)
+	index := uint64(200)
+	do := func(c command) {
+		index++
+		is.Equal(apply(t, s.Machine, index, c), nil)
+	}
+	restarted := func() map[string]uint64 { return s.Machine.Group("s").Restarted }
+	chosen := func() string {
+		return s.inspect(t.Context(), leader, "s", s.Machine.Group("s"), nil, false).Order.Target
+	}
+	settle := func() {
+		clk.Advance(settleInterval)
+		s.mu.Lock()
+		s.stepDeparted(leader, clk.Now(), "s")
+		s.mu.Unlock()
+		s.background.Wait()
+	}
+	is.Equal(chosen(), "a")
+	do(registerCommand("a", "1.1.1.1:2", 100)) // the same process
+	do(registerCommand("p", "1.1.1.1:1", 200)) // a primary comes back with its log
+	is.Equal(chosen(), "a")
+	do(registerCommand("a", "1.1.1.1:2", 200))
+	is.Equal(chosen(), "")
+	settle()
+	is.Equal(restarted(), map[string]uint64{"a": 200}) // the primary doesn't answer
+	targets.unreachable["p"] = false
+	do(command{SettleDeparted: &settleDeparted{LeaderTerm: 5, Service: "s", Primary: "p", Restarted: map[string]uint64{"a": 100}}})
+	is.Equal(restarted(), map[string]uint64{"a": 200}) // settled before it started again
+	settle()
+	is.Equal(len(restarted()), 0)
+
+	do(command{DeregisterTarget: &deregisterTarget{Service: "s", Target: "a", StartedMs: 200}})
+	do(registerCommand("a", "1.1.1.1:2", 200))
+	is.Equal(len(restarted()), 0) // the same process is back
+	do(command{DeregisterTarget: &deregisterTarget{Service: "s", Target: "a", StartedMs: 200}})
+	do(registerCommand("a", "1.1.1.1:2", 300))
+	is.Equal(restarted(), map[string]uint64{"a": 300})
+	data, err := s.Machine.Snapshot()
+	is.NoErr(err)
+	restored := newTestMachine(t)
+	is.NoErr(restored.Restore(data))
+	is.Equal(restored.Group("s").Restarted, restarted())
+	_, err = s.executeAdmin(t.Context(), &wire.AdminRequest{Op: wire.AdminForget, Service: "s", Target: "a"})
+	is.NoErr(err)
+	is.Equal(len(restarted()), 0)
+}
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -24,6 +24,9 @@
 	Departed map[string]GroupMember `cbor:"7,keyasint,omitempty"`
 	// Contested is set while orders for other targets than Candidate may be carried out as well.
 	Contested bool `cbor:"8,keyasint,omitempty"`
+	// Restarted has the start time, in Unix ms, of replicas that have started again under their name, and hold nothing of
+	// before. What an earlier process had acknowledged may be at no member except the primary.
+	Restarted map[string]uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // GroupMember is a registered target of a deployed service.
@@ -37,6 +40,9 @@
 	Released bool `cbor:"6,keyasint,omitempty"`
 }
 
+// lostLogs returns the number of replicas that have gone with their logs, and still count in promotions.
+func (g Group) lostLogs() int { return len(g.Departed) + len(g.Restarted) }
+
 func (g Group) promotionRecord() promotion.Record {
 	return promotion.Record{Primary: g.Primary, Candidate: g.Candidate, Token: g.Token, Contested: g.Contested}
 }
@@ -162,6 +168,7 @@
 		group.Members = map[string]GroupMember{}
 	}
 	group.Departed = maps.Clone(group.Departed)
+	group.Restarted = maps.Clone(group.Restarted)
 	return &group, func() { m.groups[service] = &group }
 }
 
@@ -194,12 +201,31 @@
 		member.Leaving = member.Leaving || old.Leaving // a late registration doesn't revoke it
 		member.Released = old.Released
 	}
+	if group.restartsWithoutLog(cmd.Target, member.StartedMs) {
+		if group.Restarted == nil {
+			group.Restarted = map[string]uint64{}
+		}
+		group.Restarted[cmd.Target] = member.StartedMs
+	}
 	group.Members[cmd.Target] = member
 	delete(group.Departed, cmd.Target)
 	store()
 	return nil
 }
 
+// restartsWithoutLog reports whether a process that started at startedMs takes the name of an earlier one whose log counts. It
+// holds nothing of before. Only a primary comes back with its log.
+func (g *Group) restartsWithoutLog(target string, startedMs uint64) bool {
+	if target == g.Primary {
+		return false
+	}
+	earlier, known := g.Departed[target]
+	if member, isMember := g.Members[target]; isMember {
+		earlier, known = member, !member.Released
+	}
+	return known && earlier.StartedMs != 0 && earlier.StartedMs < startedMs
+}
+
 // deleteTarget removes a target and its recorded holder. A replica is recorded as departed unless it was released.
 func (m *Machine) deleteTarget(service, target string) {
 	group, store := m.editGroup(service)
--- a/internal/control/inspect.go
+++ b/internal/control/inspect.go
@@ -15,7 +15,7 @@
 func (s *Server) inspect(ctx context.Context, leader *leaderState, service string, record Group, leaving map[string]bool, commitsStalled bool) promotion.Decision {
 	inspection := promotion.Inspection{
 		Primary: record.Primary, Pending: promotion.Pending{Target: record.Candidate, Received: record.CandidateReceived, Contested: record.Contested},
-		SyncReplicas: s.syncReplicas(service), Departed: len(record.Departed), CommitsStalled: commitsStalled,
+		SyncReplicas: s.syncReplicas(service), Departed: record.lostLogs(), CommitsStalled: commitsStalled,
 	}
 	var first, inEmptied []string
 	for target, member := range record.Members {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -30,8 +30,9 @@
 	Token     uint64                       `json:"token"`               // fencing token of the last promotion order
 	Phase     string                       `json:"phase"`
 	Targets   map[string]GroupTargetStatus `json:"targets"`
-	Departed  []string                     `json:"departed,omitempty"` // targets that have gone and still count in promotions
-	Paused    bool                         `json:"paused,omitempty"`   // replicas may be paused by an inspection
+	Departed  []string                     `json:"departed,omitempty"`  // targets that have gone and still count in promotions
+	Restarted []string                     `json:"restarted,omitempty"` // targets whose earlier processes still count in promotions
+	Paused    bool                         `json:"paused,omitempty"`    // replicas may be paused by an inspection
 }
 
 // GroupTargetStatus describes a target of a deployed service.
@@ -123,7 +124,7 @@
 	status := GroupStatus{
 		Primary: record.Primary, Candidate: record.Candidate, Token: record.Token,
 		Phase: leader.groupState(now, service).promotion.State(), Targets: map[string]GroupTargetStatus{},
-		Departed: slices.Sorted(maps.Keys(record.Departed)), Paused: record.Paused,
+		Departed: slices.Sorted(maps.Keys(record.Departed)), Restarted: slices.Sorted(maps.Keys(record.Restarted)), Paused: record.Paused,
 	}
 	for target, member := range record.Members {
 		t := GroupTargetStatus{Addr: member.Addr, Place: member.Place, Leaving: !leader.leavingSince(target).IsZero(), SilentFor: -1}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -79,6 +79,9 @@
 	for _, name := range s.Departed {
 		items = append(items, name+" departed")
 	}
+	for _, name := range s.Restarted {
+		items = append(items, name+" restarted without its log")
+	}
 	return strings.Join(items, ", ")
 }
 
--- a/internal/promotion/choose.go
+++ b/internal/promotion/choose.go
@@ -26,7 +26,8 @@
 
 // Choose returns the target to promote. Each acknowledged commit is at the primary and at syncReplicas or more
 // replicas, of which some may have departed since. Of n replicas, any n-syncReplicas+1 therefore include one that has
-// received it, and Choose returns false until that many are paused and have answered. With syncReplicas 0, a commit may be at the primary only
+// received it, and Choose returns false until that many are paused and have answered. One that has nothing while another
+// target has something doesn't count as answering: its process may have started again without its log. With syncReplicas 0, a commit may be at the primary only
 // and can be lost; then one paused replica is enough. Targets that did not answer count as replicas, and so does a target
 // that leads by an order that was carried out late. The primary does not, nor does a target that leads in place of a
 // recorded primary without a report: it has restarted under that name.
@@ -39,6 +40,7 @@
 func Choose(reports []Report, primary string, syncReplicas, departed int, pending Pending) (target string, ok bool) {
 	replicas, paused, primaryAnswers := departed, 0, false
 	primaryIsGone := !slices.ContainsFunc(reports, func(r Report) bool { return r.Target == primary })
+	anyLog := slices.ContainsFunc(reports, func(r Report) bool { return r.hasLog() })
 	var best, ordered *Report
 	for i := range reports {
 		r := &reports[i]
@@ -50,7 +52,7 @@
 			continue
 		}
 		replicas++
-		if !r.Answered || !r.Paused {
+		if !r.Answered || !r.Paused || anyLog && !r.hasLog() {
 			continue
 		}
 		paused++
@@ -77,6 +79,9 @@
 	return best.Target, true
 }
 
+// hasLog reports whether the target has answered and has received any commit.
+func (r *Report) hasLog() bool { return r.Answered && r.Received.Offset > 0 }
+
 // betterCandidate reports whether a is a better candidate than b: by the received position, then targets
 // that are not leaving, then by name.
 func betterCandidate(a, b *Report) bool {
--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -5,7 +5,7 @@
 	Primary        string // the recorded primary
 	Pending        Pending
 	SyncReplicas   int
-	Departed       int      // targets that have gone, and may have had commits that no target has
+	Departed       int      // processes that have gone with their logs, and may have had commits that no target has
 	CommitsStalled bool     // commits wait for replicas that don't answer
 	Reports        []Report // of all targets of the service
 }
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -208,3 +208,19 @@
 	d.machine.RecordOrder(false)
 	is.Equal(d.step(0), Confirm)
 }
+
+// Guards against the answer of a replica that has started again without its log, and hasn't registered since: it says nothing of
+// what the earlier process had received.
+func TestReplicaWithoutLogDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	reports := []Report{
+		{Target: "p"},
+		{Target: "a", Answered: true, Paused: true},
+		{Target: "b", Answered: true, Paused: true, Received: positionAt(8)},
+	}
+	_, ok := Choose(reports, "p", 1, 0, Pending{})
+	is.True(!ok)
+	reports[2].Received = positionAt(0)
+	_, ok = Choose(reports, "p", 1, 0, Pending{})
+	is.True(ok) // a service without any commit
+}
