holder: keep digests of prepared statements and long settings

Cause: a connection to a target kept the definitions that were prepared on it, 64 of up to 1 MiB each, and the settings that were set on it, also after the session had deallocated them or had ended. Nothing charged for them.

Change: a connection keeps the digest of a definition, and of a name or value of a setting of more than 64 bytes. An idle connection with more than 64 settings forgets them, and is reset before its next use. The names under which statements are prepared are the same as before.

--- a/internal/holder/conns.go
+++ b/internal/holder/conns.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,27 +15,44 @@
 const (
 	// maxPrepared bounds the prepared statements of one connection.
 	maxPrepared = 64
+	// maxIdleSettings bounds the settings of an idle connection.
+	maxIdleSettings = 64
 	// fullRetryDelay is how long no new connection is dialled after the target has refused one at its
 	// connection limit. A target may keep the connections of a failed holder for seconds, and each refusal
 	// costs it time.
 	fullRetryDelay = 50 * time.Millisecond
 )
 
-// conn is a connection together with the session state that is set on it.
+// conn is a connection together with the session state that is set on it. The state outlasts the session, whose
+// memory for clients is released by then, so that it has no text of more than maxKeptText.
 type conn struct {
 	Conn
 	team     string
-	settings map[string]string
-	prepared map[statement.Definition]bool
+	settings map[string]string // as returned by keptSettings
+	prepared map[[sha256.Size]byte]bool
+	resetDue bool // settings and prepared are incomplete
+}
+
+func newConn(raw Conn, team string) *conn {
+	return &conn{Conn: raw, team: team, settings: map[string]string{}, prepared: map[[sha256.Size]byte]bool{}}
 }
 
 // applySession makes the settings of the connection equal to the given ones, and prepares the statement
 // that st executes, if any. After an error the session state of the connection is unknown.
 func (c *conn) applySession(ctx context.Context, settings map[string]string, st statement.Statement) error {
+	if c.resetDue {
+		if err := c.reset(ctx); err != nil {
+			return err
+		}
+	}
 	if err := c.applySettings(ctx, settings); err != nil {
 		return err
 	}
-	if st.Prepared == nil || c.prepared[*st.Prepared] {
+	if st.Prepared == nil {
+		return nil
+	}
+	digest := st.Prepared.Digest()
+	if c.prepared[digest] {
 		return nil
 	}
 	if len(c.prepared) >= maxPrepared {
@@ -47,13 +66,14 @@
 	if err := c.Prepare(ctx, *st.Prepared); err != nil {
 		return err
 	}
-	c.prepared[*st.Prepared] = true
+	c.prepared[digest] = true
 	return nil
 }
 
 func (c *conn) applySettings(ctx context.Context, settings map[string]string) error {
+	kept := keptSettings(settings)
 	for name := range c.settings {
-		if _, wanted := settings[name]; !wanted {
+		if _, wanted := kept[name]; !wanted {
 			if err := c.reset(ctx); err != nil {
 				return err
 			}
@@ -61,13 +81,14 @@
 		}
 	}
 	for name, value := range settings {
-		if current, ok := c.settings[name]; ok && current == value {
+		keptName, keptValue := keptText(name), keptText(value)
+		if current, ok := c.settings[keptName]; ok && current == keptValue {
 			continue
 		}
 		if err := c.Set(ctx, name, value); err != nil {
 			return err
 		}
-		c.settings[name] = value
+		c.settings[strings.Clone(keptName)] = strings.Clone(keptValue) // may be parts of a larger message
 	}
 	return nil
 }
@@ -78,9 +99,15 @@
 	}
 	clear(c.settings)
 	clear(c.prepared)
+	c.resetDue = false
 	return nil
 }
 
+// forget drops what is known of the session state of the connection, which is reset before its next use.
+func (c *conn) forget() {
+	c.settings, c.prepared, c.resetDue = map[string]string{}, map[[sha256.Size]byte]bool{}, true
+}
+
 // connPool holds the connections to one target. An idle connection is kept for its team until, at the
 // connection limit, it is evicted for one of another team.
 type connPool struct {
@@ -124,11 +151,12 @@
 		return nil, errLeaseEnded
 	}
 	found := -1
+	kept := keptSettings(settings)
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if p.idle[i].team != team {
 			continue
 		}
-		if maps.Equal(p.idle[i].settings, settings) {
+		if maps.Equal(p.idle[i].settings, kept) {
 			found = i
 			break
 		}
@@ -175,7 +203,7 @@
 		return nil, err
 	}
 	p.manager.metrics.dials.Inc()
-	return &conn{Conn: raw, team: team, settings: map[string]string{}, prepared: map[statement.Definition]bool{}}, nil
+	return newConn(raw, team), nil
 }
 
 // put adds a connection on which no statement is running and no block is open to the idle ones. It closes the
@@ -188,6 +216,9 @@
 		p.open--
 		return
 	}
+	if len(c.settings) > maxIdleSettings {
+		c.forget()
+	}
 	p.idle = append(p.idle, c)
 }
 
