--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -26,6 +25,7 @@
 
 	settings       map[string]string // replaced as a whole, never modified
 	prepared       map[string]statement.Definition
+	stateBytes     int64                        // of settings and prepared
 	commitFloors   map[string]position.Position // highest known position of the session's commits, by service
 	unknownCommits map[string]bool              // services whose last commit has an unknown position
 
@@ -131,17 +131,6 @@
 	return 0
 }
 
-// StateBytes returns the size of the session's settings and prepared statements.
-func (s *Session) StateBytes() (bytes int64) {
-	for name, value := range s.settings {
-		bytes += int64(len(name) + len(value))
-	}
-	for name, definition := range s.prepared {
-		bytes += int64(len(name) + len(definition.Body))
-	}
-	return bytes
-}
-
 // BlockIdleTimeout returns how long the session may be idle before ExpireBlock is due, or 0 if no block
 // occupies a target.
 func (s *Session) BlockIdleTimeout() time.Duration {
@@ -192,18 +181,12 @@
 	}
 	switch st.Kind {
 	case statement.Set:
-		settings := maps.Clone(s.settings)
-		if settings == nil {
-			settings = map[string]string{}
-		}
-		settings[st.Name] = st.Value
-		s.settings = settings
-		return statement.Result{}, nil
+		return statement.Result{}, s.set(st.Name, st.Value)
 	case statement.Prepare:
-		s.prepared[st.Name] = *st.Prepared
+		s.prepare(st.Name, *st.Prepared)
 		return statement.Result{}, nil
 	case statement.Deallocate:
-		delete(s.prepared, st.Name)
+		s.deallocate(st.Name)
 		return statement.Result{}, nil
 	case statement.Begin, statement.BeginRead:
 		return statement.Result{}, s.beginBlock(ctx, st)
