agent: build the hosts of TestStartingHostsAgreeOnRelays without running them

Cause: the test wrote Agent.started, which the product only reads, while the goroutines of its running hosts read it.

Change: the hosts are created with a fake clock and never run, as the choice of a relay needs neither renewals nor connections. The clock's time takes the place of the writes; what is asserted is the same.

It fails if Relay passes a constant false, or a constant true, for connecting.

--- a/internal/agent/peers_test.go
+++ b/internal/agent/peers_test.go
@@ -7,9 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
 	"github.com/citronrun/citronrun/internal/catalog"
+	"github.com/citronrun/citronrun/internal/clock"
+	"github.com/citronrun/citronrun/internal/transport/testtls"
 	"github.com/citronrun/citronrun/internal/verdict"
 )
 
@@ -168,17 +171,22 @@
 // until it is connected with its place.
 func TestStartingHostsAgreeOnRelays(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 4)
+	ca, err := testtls.NewAuthority()
+	is.NoErr(err)
+	clk := clock.NewFake(time.Unix(1000, 0)) // they stay starting until it moves
+	var agents []*Agent
 	var addrs []string
-	for _, a := range c.agents {
-		addrs = append(addrs, a.Addr)
+	for i := range 4 {
+		endpoint := listen(t, ca, fmt.Sprint("h", i))
+		agents = append(agents, New(Config{
+			Host: fmt.Sprint("h", i), Place: "p", Addr: endpoint.Addr(), Entry: true, Transport: endpoint, Clock: clk, Logger: log.NewNopLogger(),
+		}))
+		addrs = append(addrs, endpoint.Addr())
 	}
 	relays := func(holder string) map[string]bool {
 		chosen := map[string]bool{}
-		for _, a := range c.agents {
-			a.Agent.mu.Lock()
+		for _, a := range agents {
 			a.hostAddrs, a.placeHosts = addrs, true
-			a.Agent.mu.Unlock()
 			relay := a.Relay(holder)
 			if relay == "" {
 				relay = a.Addr
@@ -187,14 +195,9 @@
 		}
 		return chosen
 	}
-	for _, a := range c.agents {
-		a.started = a.Clock.Now().Add(time.Minute) // they stay starting for the whole test
-	}
 	for i := range 20 {
 		is.Equal(len(relays(fmt.Sprintf("10.2.0.%d:7400", i+1))), 1)
 	}
-	for _, a := range c.agents {
-		a.started = a.Clock.Now().Add(-time.Minute)
-	}
-	is.Equal(len(relays("10.2.0.1:7400")), len(c.agents)) // a host that is lost isn't dialed again and again
+	clk.Advance(time.Minute)
+	is.Equal(len(relays("10.2.0.1:7400")), len(agents)) // a host that is lost isn't dialed again and again
 }
