--- a/internal/control/promote.go
+++ b/internal/control/promote.go
@@ -289,13 +289,15 @@
 	order := PromotionOrder{Service: service, Target: choice.Target, Token: token, Confirm: confirm}
 	attempts, err := s.sendOrder(ctx, order, TargetRef{Service: service, Target: choice.Target, Addr: record.Members[choice.Target].Addr})
 	countPromotionOrder(err)
-	_ = level.Info(s.Logger).Log("msg", "promotion ordered", "service", service, "target", choice.Target, "token", token, "attempts", attempts, "err", err)
+	contested := s.Machine.Group(service).Contested
+	_ = level.Info(s.Logger).Log("msg", "promotion ordered", "service", service, "target", choice.Target, "token", token,
+		"attempts", attempts, "contested", contested, "err", err)
 	if verdict.Of(err) == verdict.NotRun && nonePending {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		leader.groupState(s.Clock.Now(), service).refusedToken = token
 	}
-	return err != nil && (verdict.Of(err) == verdict.NotRun || s.Machine.Group(service).Contested)
+	return err != nil && (verdict.Of(err) == verdict.NotRun || contested)
 }
 
 // lastOrderRefused reports whether the order with a token was refused, while no other one was pending.
