agent: let TestRenewalsAreForwarded outlast the change to the forwarder

Cause, traced with a line for each dial and each call of the leader, on one core beside twelve busy processes (6 failures in 57 runs): the test closed the connection with the leader once, and asserted a second later that there was none. Two things open it again in between, both as they should: the first call to the forwarder took over 300 ms, so that the host asked the leader; and the leader asked the owner of the service to renew before it had heard of its forwarder.

Change: the connections are closed until none is opened again within a renewal interval. The assertions after that are the same.

If a host ignores its forwarder, the test fails.

--- a/internal/agent/forward_test.go
+++ b/internal/agent/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -37,7 +38,9 @@
 	log      *followerLog
 }
 
-// forwardThrough makes all agents of a cluster renew through a further control host.
+// forwardThrough makes all agents of a cluster renew through a further control host. Meanwhile they may connect with the leader
+// again: a host whose forwarder doesn't answer its first call in time asks the leader, and the leader itself calls hosts until it
+// has heard of their forwarder.
 func (c *cluster) forwardThrough(t *testing.T) *forwarder {
 	f := &forwarder{endpoint: listen(t, c.ca, "c2"), log: &followerLog{testLog: c.log}}
 	server := control.New(control.Config{
@@ -52,9 +55,17 @@
 		a.Agent.mu.Lock()
 		a.forwarders = []string{f.endpoint.Addr()}
 		a.Agent.mu.Unlock()
+	}
+	for _, a := range c.agents {
 		eventually(t, "renewals go through the forwarder", func() bool { return a.Transport.Connected(f.endpoint.Addr()) })
-		a.Transport.CloseConn(c.addr)
 	}
+	eventually(t, "no host connects with the leader again", func() bool {
+		for _, a := range c.agents {
+			a.Transport.CloseConn(c.addr)
+		}
+		time.Sleep(renewalInterval)
+		return !slices.ContainsFunc(c.agents, func(a *testAgent) bool { return a.Transport.Connected(c.addr) })
+	})
 	return f
 }
 
