--- a/internal/promotion/choose.go
+++ b/internal/promotion/choose.go
@@ -26,11 +26,13 @@
 
 // Choose returns the target to promote. Each acknowledged commit is at the primary and at syncReplicas or more
 // replicas, of which some may have departed since. Of n replicas, any n-syncReplicas+1 therefore include one that has
-// received it, and Choose returns false until that many are paused and have answered. One that has nothing while another
-// target has something doesn't count as answering: its process may have started again without its log. With syncReplicas 0, a commit may be at the primary only
-// and can be lost; then one paused replica is enough. Targets that did not answer count as replicas, and so does a target
-// that leads by an order that was carried out late. The primary does not, nor does a target that leads in place of a
-// recorded primary without a report: it has restarted under that name.
+// received it, and Choose returns false until that many are paused and have answered. With syncReplicas 0, a commit may
+// be at the primary only and can be lost; then one paused replica is enough.
+//
+// Targets that did not answer count as replicas, and so does a target that leads by an order that was carried out late.
+// The primary does not, nor does a target that leads while the primary has no report: it is the primary's process, which
+// has restarted under another name. A target that has no log doesn't count as answering while another one has a log: its
+// process may have started again without what it had.
 //
 // A target that is leaving is chosen only if no other replica has received as much and the primary, from
 // which the others could still receive the rest, doesn't answer.
