holder: hash only long texts of prepared statements

Cause: since connections keep digests, each execution of a prepared statement computed a digest twice, with about 1.4 KB of garbage, also for the short ones that callers use. That this is the cause is suspected, not shown.

Change: a definition of at most 64 bytes is kept as it is, as a setting is; only longer ones are hashed, once.

--- a/internal/holder/conns.go
+++ b/internal/holder/conns.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"maps"
 	"strings"
 	"sync"
@@ -28,13 +27,13 @@
 type conn struct {
 	Conn
 	team     string
-	settings map[string]string // as returned by keptSettings
-	prepared map[[sha256.Size]byte]bool
-	resetDue bool // settings and prepared are incomplete
+	settings map[string]string             // as returned by keptSettings
+	prepared map[statement.Definition]bool // as returned by keptDefinition
+	resetDue bool                          // settings and prepared are incomplete
 }
 
 func newConn(raw Conn, team string) *conn {
-	return &conn{Conn: raw, team: team, settings: map[string]string{}, prepared: map[[sha256.Size]byte]bool{}}
+	return &conn{Conn: raw, team: team, settings: map[string]string{}, prepared: map[statement.Definition]bool{}}
 }
 
 // applySession makes the settings of the connection equal to the given ones, and prepares the statement
@@ -51,8 +50,8 @@
 	if st.Prepared == nil {
 		return nil
 	}
-	digest := st.Prepared.Digest()
-	if c.prepared[digest] {
+	kept := keptDefinition(*st.Prepared)
+	if c.prepared[kept] {
 		return nil
 	}
 	if len(c.prepared) >= maxPrepared {
@@ -66,7 +65,8 @@
 	if err := c.Prepare(ctx, *st.Prepared); err != nil {
 		return err
 	}
-	c.prepared[digest] = true
+	kept.Body = strings.Clone(kept.Body)
+	c.prepared[kept] = true
 	return nil
 }
 
@@ -105,7 +105,7 @@
 
 // forget drops what is known of the session state of the connection, which is reset before its next use.
 func (c *conn) forget() {
-	c.settings, c.prepared, c.resetDue = map[string]string{}, map[[sha256.Size]byte]bool{}, true
+	c.settings, c.prepared, c.resetDue = map[string]string{}, map[statement.Definition]bool{}, true
 }
 
 // connPool holds the connections to one target. An idle connection is kept for its team until, at the
--- a/internal/holder/settings_test.go
+++ b/internal/holder/settings_test.go
@@ -73,9 +73,9 @@
 		{Kind: statement.Read, Body: "READ q"}, {Kind: statement.Write, Body: "READ q"}, {Kind: statement.Read, Body: "READ r"},
 		{Kind: statement.Read, Body: strings.Repeat("x", 512)}, {Kind: statement.Read, Body: strings.Repeat("x", 513)},
 	}
-	seen := map[[32]byte]bool{}
+	seen := map[statement.Definition]bool{}
 	for _, d := range definitions {
-		is.True(!seen[d.Digest()])
-		seen[d.Digest()] = true
+		is.True(!seen[keptDefinition(d)])
+		seen[keptDefinition(d)] = true
 	}
 }
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -46,29 +46,10 @@
 
 const nameDigestBytes = 8
 
-// Digest identifies the definition, without its body.
-func (d Definition) Digest() [sha256.Size]byte {
-	return DigestText(string(rune(d.Kind)), d.Body)
-}
-
-// DigestText returns the digest of the concatenation of texts. It needs no memory for a copy of them.
-func DigestText(texts ...string) [sha256.Size]byte {
-	h := sha256.New()
-	var buf [512]byte
-	for _, text := range texts {
-		for text != "" {
-			n := copy(buf[:], text)
-			h.Write(buf[:n])
-			text = text[n:]
-		}
-	}
-	return [sha256.Size]byte(h.Sum(nil))
-}
-
 // Name returns the name under which the definition is prepared on connections to targets. It depends only
 // on the definition, so that all callers that use a connection share the prepared statement.
 func (d Definition) Name() string {
-	sum := d.Digest()
+	sum := sha256.Sum256(append([]byte{byte(d.Kind)}, d.Body...))
 	return "c" + hex.EncodeToString(sum[:nameDigestBytes])
 }
 
