--- a/review/stand3/case_restart.go
+++ b/review/stand3/case_restart.go
@@ -7,6 +7,7 @@
 // log again. Then the cut heals.
 func restartCase(w *world, trouble bool) {
 	w.deploy(5, 4, "p", "a", "r")
+	w.configure(1)
 	p, a, r := w.svc.dbs[0], w.svc.dbs[1], w.svc.dbs[2]
 	for n := range 4 {
 		go w.write(n)
--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -70,7 +70,7 @@
 		}
 		if s == nil {
 			var err error
-			if s, err = w.open(w.fronts[(n+i)%len(w.fronts)].frontAddr, "lepu270"); err != nil {
+			if s, err = w.open(w.fronts[(n+i)%len(w.fronts)].frontAddr, databaseNames[0][kindPrimary]); err != nil {
 				time.Sleep(50 * time.Millisecond)
 				continue
 			}
@@ -110,3 +110,24 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// expect records to which service a statement goes.
+func (w *world) expect(id string, s *service) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sentTo[id] = s
+}
+
+// checkRun checks that a database runs a statement that was sent to its service. Statements that no client has announced with
+// expect aren't checked.
+func (w *world) checkRun(d *database, id, text string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.sentTo[id]; s != nil && s != d.svc {
+		w.noteLocked("%s of service %s runs %s %s, which was sent to a route of service %s", d.id, d.svc.name, id, text, s.name)
+		w.foreign++
+		if w.foreign == 1 {
+			w.broken = append(w.broken, fmt.Sprintf("ROUTE: %s of service %s runs %s %s, which was sent to a route of service %s", d.id, d.svc.name, id, text, s.name))
+		}
+	}
+}
--- a/review/stand3/database.go
+++ b/review/stand3/database.go
@@ -39,21 +39,24 @@
 	addr  string
 	zone  string
 
-	running  bool
-	starts   int
-	bornMs   int64
-	sequence uint64
-	primary  bool
-	term     uint64
-	pausedAt uint64 // term of a PAUSE in force; 0: none
-	deaf     bool   // receives nothing
-	cut      bool   // partitioned from all machines of the system, but not from the other databases
-	perTick  int    // commits that it receives in a tick of replication
-	log      []commit
-	busy     int
-	listener net.Listener
-	conns    map[net.Conn]bool
-	calls    []*host // whom it sends heartbeats, in this order
+	running      bool
+	starts       int
+	bornMs       int64
+	sequence     uint64
+	primary      bool
+	term         uint64
+	pausedAt     uint64 // term of a PAUSE in force; 0: none
+	deaf         bool   // receives nothing
+	cut          bool   // partitioned from all machines of the system, but not from the other databases
+	perTick      int    // commits that it receives in a tick of replication
+	log          []commit
+	busy         int
+	listener     net.Listener
+	conns        map[net.Conn]bool
+	calls        []*host       // whom it sends heartbeats, in this order
+	beatNow      chan struct{} // a value makes it send the next heartbeat at once
+	leaving      bool          // it reports that it is draining
+	leavingAcked time.Time     // when that was acknowledged; zero: not yet
 }
 
 const (
@@ -65,14 +68,16 @@
 	promoteTime      = 600 * time.Millisecond
 	heartbeatTimeout = time.Second
 	heartbeatPeriod  = 1200 * time.Millisecond
+	drainTime        = 7 * time.Second // DrainMs
 )
 
-func newService(w *world, name string, labels ...string) *service {
+// newService returns a service whose databases have addresses from the given last number on.
+func newService(w *world, name string, ip int, labels ...string) *service {
 	s := &service{w: w, name: name}
 	s.changed = sync.NewCond(&s.mu)
 	for i, label := range labels {
-		d := &database{svc: s, label: label, id: fmt.Sprintf("i-%s%d", label, 1000+i), zone: zones[i%len(zones)], perTick: 1 << 20, calls: w.control}
-		d.addr = w.addr(w.ip(60+i), 30)
+		d := &database{svc: s, label: label, id: fmt.Sprintf("i-%s%d", label, 1000+i), zone: zones[i%len(zones)], perTick: 1 << 20, calls: w.control, beatNow: make(chan struct{}, 1)}
+		d.addr = w.addr(w.ip(ip+i), 30)
 		s.dbs = append(s.dbs, d)
 	}
 	s.dbs[0].primary = true
@@ -179,8 +184,12 @@
 			role = "primary"
 		}
 		d.sequence++
+		state := "ready"
+		if d.leaving {
+			state = "draining"
+		}
 		body, _ := json.Marshal(map[string]any{"Service": d.svc.name, "Address": d.addr, "Zone": d.zone, "Version": "v1", "Slots": slots,
-			"State": "ready", "ColdRemainingMs": 0, "DatabaseRole": role, "Sequence": d.sequence, "born": d.bornMs})
+			"State": state, "ColdRemainingMs": 0, "DatabaseRole": role, "Sequence": d.sequence, "born": d.bornMs})
 		d.svc.mu.Unlock()
 		if cut {
 			time.Sleep(heartbeatTimeout) // without a response
@@ -195,7 +204,18 @@
 			next++
 			continue
 		}
-		time.Sleep(heartbeatPeriod)
+		if state == "draining" {
+			d.set(func() {
+				if d.leavingAcked.IsZero() {
+					d.leavingAcked = time.Now()
+					d.svc.w.note("the heartbeat by which %s reports that it is draining is acknowledged by %s", d.id, to.name)
+				}
+			})
+		}
+		select {
+		case <-time.After(heartbeatPeriod):
+		case <-d.beatNow:
+		}
 	}
 }
 
@@ -354,9 +374,10 @@
 	if !d.running || d.starts != s.start {
 		return nil, "BUSY"
 	}
-	if uint64(len(d.log)) < after {
+	if uint64(len(d.log)) < after { // only the first statement of a block has this condition
 		return nil, "LAGGING"
 	}
+	inBlock := s.open
 	for d.busy >= slots && d.running {
 		svc.changed.Wait()
 	}
@@ -365,6 +386,10 @@
 	time.Sleep(workTime)
 	svc.mu.Lock()
 	defer func() { d.busy--; svc.changed.Broadcast() }()
+	svc.w.checkRun(d, id, word+" "+rest)
+	if !inBlock {
+		d.checkDrain(id, word+" "+rest)
+	}
 	item, data, _ := strings.Cut(rest, " ")
 	switch {
 	case word == "BEGIN":
@@ -448,3 +473,42 @@
 	d.svc.w.note("%s at %s: %s, received %s", word, d.label, role, d.position())
 	return []string{fmt.Sprintf("%s %d %s %d 0 %d %d", role, d.term, d.position(), d.pausedAt, d.busy, len(d.conns))}, ""
 }
+
+// leave makes a database report that it is draining, serve for DrainMs after the acknowledgement and for more, and then leave.
+func (d *database) leave(more time.Duration) {
+	d.set(func() { d.leaving = true })
+	d.beatNow <- struct{}{}
+	acked := time.Time{}
+	for acked.IsZero() {
+		time.Sleep(10 * time.Millisecond)
+		d.set(func() { acked = d.leavingAcked })
+	}
+	time.Sleep(time.Until(acked.Add(drainTime + more)))
+	for _, to := range d.calls {
+		resp, err := http.Post("http://"+to.controlAddr+"/citronrun/instances/"+d.id+"/leave", "application/json", nil)
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode < 300 {
+			d.svc.w.note("%s leaves: %d", d.id, resp.StatusCode)
+			break
+		}
+	}
+	d.crash()
+}
+
+// checkDrain checks that no statement of a client arrives later than DrainMs after the acknowledgement. The mutex is held.
+func (d *database) checkDrain(id, text string) {
+	late := time.Since(d.leavingAcked) - drainTime
+	if d.leavingAcked.IsZero() || late <= 0 || id == "-" {
+		return
+	}
+	w := d.svc.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noteLocked("%s reaches %s %v after DrainMs", id, d.id, late.Round(time.Millisecond))
+	if w.late++; w.late == 1 {
+		w.broken = append(w.broken, fmt.Sprintf("DRAIN: %s (%s) reaches %s %v later than DrainMs after the acknowledgement", id, text, d.id, late.Round(time.Millisecond)))
+	}
+}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -13,7 +13,7 @@
 	program := flag.String("program", "target/citrond", "program of the system")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
-	cases := map[string]func(w *world, trouble bool){"restart": restartCase}
+	cases := map[string]func(w *world, trouble bool){"restart": restartCase, "odd-service": oddServiceCase, "odd-leave": oddLeaveCase}
 	run, ok := cases[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case")
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,11 +40,17 @@
 	port    int
 
 	control, fronts []*host
-	svc             *service
+	svc             *service // of most cases the only one
+	services        []*service
 	platformAddr    string
 
+	nextRead atomic.Uint32
+
 	mu           sync.Mutex
 	acknowledged map[string]time.Time // by id of the statement that committed
+	sentTo       map[string]*service  // by id of the statement
+	foreign      int                  // statements that another service has run
+	late         int                  // statements that reached a database too late after its leave
 	broken       []string
 	over         bool
 }
@@ -63,7 +70,7 @@
 }
 
 func newWorld(record string, program string) *world {
-	w := &world{program: program, began: time.Now(), acknowledged: map[string]time.Time{}}
+	w := &world{program: program, began: time.Now(), acknowledged: map[string]time.Time{}, sentTo: map[string]*service{}}
 	var err error
 	if w.record, err = os.Create(record); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -135,11 +142,17 @@
 		w.forwardSeed(h)
 		h.start(true)
 	}
-	w.svc = newService(w, "huvo11a", labels...)
-	for _, d := range w.svc.dbs {
+	w.svc = w.addService("huvo11a", labels...)
+}
+
+// addService starts the databases of a service.
+func (w *world) addService(name string, labels ...string) *service {
+	s := newService(w, name, 60+10*len(w.services), labels...)
+	w.services = append(w.services, s)
+	for _, d := range s.dbs {
 		d.start(true)
 	}
-	w.configure(1)
+	return s
 }
 
 func (w *world) newHost(name string, ip, index int, control bool) *host {
@@ -268,11 +281,14 @@
 	mux.HandleFunc("POST /promotion", func(rw http.ResponseWriter, r *http.Request) {
 		var body struct{ Service, InstanceId string }
 		token, err := strconv.ParseUint(r.Header.Get("Citronrun-Fencing-Token"), 10, 64)
-		if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil || body.Service != w.svc.name {
-			rw.WriteHeader(http.StatusBadRequest)
-			return
+		status := http.StatusBadRequest
+		if err == nil && json.NewDecoder(r.Body).Decode(&body) == nil {
+			for _, s := range w.services {
+				if s.name == body.Service {
+					status = s.order(body.InstanceId, token)
+				}
+			}
 		}
-		status := w.svc.order(body.InstanceId, token)
 		w.note("POST /promotion of %s with token %d by %s: %d", body.InstanceId, token, r.Header.Get("Citronrun-Lease-Holder"), status)
 		rw.WriteHeader(status)
 	})
@@ -299,16 +315,32 @@
 	return http.StatusConflict
 }
 
-// configure sends the configuration until it is acknowledged.
+// databaseNames are the database names of the routes of a service, by its index and the kind of the route.
+var databaseNames = [][]string{{"lepu270", "xapu221", "fiti832"}, {"bore445", "meku712", "sapo093"}}
+
+// Kinds of routes, as the second index of databaseNames.
+const (
+	kindPrimary = iota
+	kindBounded
+	kindOwn
+)
+
+// configure sends the configuration until it is acknowledged. The services stand in it in the opposite order of their start.
 func (w *world) configure(version int) {
+	var routes, services []any
+	for i, s := range w.services {
+		names := databaseNames[i]
+		routes = append(routes,
+			map[string]any{"Name": "r-" + names[0], "Host": names[0], "PathPrefix": "/", "Kind": "primary", "TimeoutMs": 800, "TargetLatencyMs": 150, "Priority": 1, "Service": s.name, "MaxAttempts": 2, "Public": false},
+			map[string]any{"Name": "r-" + names[1], "Host": names[1], "PathPrefix": "/", "Kind": "bounded_staleness", "TimeoutMs": 1500, "TargetLatencyMs": 400, "Priority": 2, "Service": s.name, "MaxAttempts": 2, "MaxStalenessMs": 1500, "Public": false},
+			map[string]any{"Name": "r-" + names[2], "Host": names[2], "PathPrefix": "/", "Kind": "read_your_writes", "TimeoutMs": 800, "TargetLatencyMs": 250, "Priority": 2, "Service": s.name, "MaxAttempts": 2, "MaxStalenessMs": 2500, "Public": false})
+		service := map[string]any{"Name": s.name, "HealthPath": "/health", "ConnectionLimit": connectionLimit, "Protocol": "h1", "Tls": false, "SyncReplicas": 1}
+		services = append([]any{service}, services...)
+	}
 	doc := map[string]any{
-		"Version": version,
-		"Routes": []any{map[string]any{"Name": "r-rge9itf", "Host": "lepu270", "PathPrefix": "/", "Kind": "primary", "TimeoutMs": 800, "TargetLatencyMs": 150, "Priority": 1, "Service": w.svc.name, "MaxAttempts": 2, "Public": false},
-			map[string]any{"Name": "r-8w8p4gv", "Host": "xapu221", "PathPrefix": "/", "Kind": "bounded_staleness", "TimeoutMs": 1500, "TargetLatencyMs": 400, "Priority": 2, "Service": w.svc.name, "MaxAttempts": 2, "MaxStalenessMs": 1500, "Public": false},
-			map[string]any{"Name": "r-y8jmxwj", "Host": "fiti832", "PathPrefix": "/", "Kind": "read_your_writes", "TimeoutMs": 800, "TargetLatencyMs": 250, "Priority": 2, "Service": w.svc.name, "MaxAttempts": 2, "MaxStalenessMs": 2500, "Public": false}},
-		"Services": []any{map[string]any{"Name": w.svc.name, "HealthPath": "/health", "ConnectionLimit": connectionLimit, "Protocol": "h1", "Tls": false, "SyncReplicas": 1}},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000, "TransactionIdleMs": 3000},
-		"Tenants":  []any{map[string]any{"Name": "nypu920", "ApiKeys": []string{key}, "Priority": 1, "RatePerS": 1000, "Burst": 1000}},
+		"Version": version, "Routes": routes, "Services": services,
+		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000, "TransactionIdleMs": 3000},
+		"Tenants": []any{map[string]any{"Name": "nypu920", "ApiKeys": []string{key}, "Priority": 1, "RatePerS": 1000, "Burst": 1000}},
 	}
 	body, _ := json.Marshal(doc)
 	client := &http.Client{Timeout: 3 * time.Second}
